--- /dev/null
+++ b/cmd/corianderpier/main.go
@@ -0,0 +1,99 @@
+// Command corianderpier is one entry instance of the serving layer.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/corianderpier/corianderpier/internal/entry"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+const help = `Serves callers and routes their requests to targets.
+
+A SIGTERM begins a planned stop: callers are sent to other instances, admitted
+requests are finished, then the program ends. A SIGINT ends it at once.
+
+Each flag may also be given in the environment (PIER_NAME for -name) or in a
+JSON file named by -settings.
+
+Example:
+  corianderpier -name entry-a -zone hobart-a -store http://127.0.0.1:7000 \
+    -instances http://127.0.0.1:7001 -key "$KEY"
+
+Exit codes: 0 after a planned stop, 1 after a failure, 2 for wrong settings.`
+
+func main() {
+	var settings entry.Settings
+	fs := flag.NewFlagSet("corianderpier", flag.ContinueOnError)
+	settings.Flags(fs)
+	fs.String("settings", "", "JSON file with the flags of this program")
+	command := &ffcli.Command{
+		Name:       "corianderpier",
+		ShortUsage: "corianderpier [flags]",
+		LongHelp:   help,
+		FlagSet:    fs,
+		Options: []ff.Option{
+			ff.WithEnvVarPrefix("PIER"),
+			ff.WithConfigFileFlag("settings"),
+			ff.WithConfigFileParser(ff.JSONParser),
+		},
+		Exec: func(ctx context.Context, _ []string) error { return serve(ctx, settings) },
+	}
+	err := command.ParseAndRun(context.Background(), os.Args[1:])
+	var usage usageError
+	switch {
+	case err == nil || errors.Is(err, flag.ErrHelp):
+	case errors.As(err, &usage):
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitUsage)
+	default:
+		fmt.Fprintln(os.Stderr, "corianderpier:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+type usageError struct{ text string }
+
+func (e usageError) Error() string { return e.text }
+
+func serve(ctx context.Context, settings entry.Settings) error {
+	if problems := settings.Check(); len(problems) > 0 {
+		text := "corianderpier: the settings have mistakes"
+		for _, p := range problems {
+			text += "\n  " + p.String()
+		}
+		return usageError{text}
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(settings.Level)); err != nil {
+		return usageError{err.Error()}
+	}
+	handler := slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level})
+	slog.SetDefault(slog.New(handler).With("instance", settings.Name))
+
+	e := &entry.Entry{Settings: settings}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT)
+	defer stop()
+	term := make(chan os.Signal, 1)
+	signal.Notify(term, syscall.SIGTERM)
+	go func() {
+		<-term
+		e.Drain()
+	}()
+	return e.Run(ctx)
+}
--- /dev/null
+++ b/internal/clock/doc.go
@@ -0,0 +1,2 @@
+// Package clock defines the millisecond time type used across the project.
+package clock
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,94 @@
+package engine
+
+// Paths of the target interface.
+const (
+	PathCompletions  = "/v1/completions"
+	PathAttempts     = "/v1/attempts/"
+	PathLoad         = "/v1/load"
+	PathHeld         = "/v1/held"
+	PathReservations = "/v1/reservations"
+	PathAct          = "/v1/act"
+
+	HeaderAttempt   = "X-Attempt"
+	HeaderKey       = "Idempotency-Key"
+	HeaderLoad      = "X-Load" // a Load, on the answer to a prompt
+	HeaderLeaving   = "X-Leaving"
+	HeaderUntouched = "X-Not-Processed" // the target states that it did not act
+)
+
+// The kinds of holding.
+const (
+	KindStream      = "stream"
+	KindReservation = "reservation"
+)
+
+// Span is a part of a prompt's memory that another engine holds under a reservation.
+type Span struct {
+	Target      string `json:"target"`
+	Reservation string `json:"reservation"`
+	Tokens      int    `json:"tokens"`
+}
+
+// Prompt asks an engine for a streamed answer.
+type Prompt struct {
+	Attempt      string `json:"attempt"`
+	Owner        string `json:"owner"` // instance and incarnation that the stream belongs to
+	Model        string `json:"model"`
+	Prompt       string `json:"prompt"`
+	PromptTokens int    `json:"prompt_tokens"`
+	MaxTokens    int    `json:"max_tokens"`
+	Priority     int    `json:"priority"`
+	From         int    `json:"from,omitempty"` // bytes of the answer that the caller has
+	Spans        []Span `json:"spans,omitempty"`
+}
+
+// Frame is one event of an engine's streamed answer.
+type Frame struct {
+	Attempt string `json:"attempt"`
+	Offset  int    `json:"offset"` // bytes of text before this frame
+	Text    string `json:"text"`
+	Total   int    `json:"total,omitempty"` // bytes of the whole text, in the last frame
+	Done    bool   `json:"done,omitempty"`
+}
+
+// Load is an engine's report about itself; it lags.
+type Load struct {
+	Waiting int  `json:"waiting"` // requests without memory yet
+	Running int  `json:"running"` // requests with memory
+	Backlog int  `json:"backlog"` // prompt tokens not yet processed
+	Used    int  `json:"used"`    // tokens of memory owned by streams and reservations
+	Memory  int  `json:"memory"`  // tokens of memory in all
+	Prefill int  `json:"prefill"` // prompt tokens a second
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Holding is memory that an engine keeps for an owner.
+type Holding struct {
+	ID       string `json:"id"`
+	Owner    string `json:"owner"`
+	Kind     string `json:"kind"` // KindStream or KindReservation
+	Tokens   int    `json:"tokens"`
+	Age      int64  `json:"age_ms"`
+	Attached bool   `json:"attached"` // a connection reads the stream
+}
+
+// Reservation asks an engine to keep memory free for one attempt.
+type Reservation struct {
+	ID     string `json:"id"`
+	Owner  string `json:"owner"`
+	Tokens int    `json:"tokens"`
+}
+
+// Act asks a plain service to act once.
+type Act struct {
+	Attempt string `json:"attempt"`
+	Key     string `json:"key"`
+	Profile string `json:"profile"`
+	Body    string `json:"body"`
+}
+
+// Acted is the answer of a plain service.
+type Acted struct {
+	Attempt string `json:"attempt"`
+	Body    string `json:"body"`
+}
--- /dev/null
+++ b/internal/entry/admin.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/front"
+	"github.com/corianderpier/corianderpier/internal/member"
+	"github.com/corianderpier/corianderpier/internal/oplog"
+)
+
+const (
+	drainMargin = clock.Second // beyond the time that callers keep addresses
+	drainLimit  = 30 * clock.Minute
+	findTime    = 3 * clock.Second
+)
+
+// Status is what an instance tells operators of itself.
+type Status struct {
+	Name     string          `json:"name"`
+	Zone     string          `json:"zone"`
+	Config   uint64          `json:"config"`  // version in force
+	Targets  uint64          `json:"targets"` // version of the instance list in use
+	Active   int             `json:"active"`  // requests in progress
+	Pending  int             `json:"pending"` // releases of engine memory not confirmed
+	Draining bool            `json:"draining"`
+	Isolated bool            `json:"isolated"`
+	Ready    bool            `json:"ready"`
+	Members  []member.Member `json:"members"`
+}
+
+// Why is what became of an operation.
+type Why struct {
+	Found   bool   `json:"found"`
+	State   string `json:"state"`
+	Attempt string `json:"attempt,omitempty"`
+	Target  string `json:"target,omitempty"`
+	Status  int    `json:"status,omitempty"`
+	Term    uint64 `json:"term"`
+}
+
+func (e *Entry) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, e.status()) })
+	mux.HandleFunc("GET /ready", e.ready)
+	mux.HandleFunc("GET /why", e.why)
+	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, _ *http.Request) {
+		e.Drain()
+		w.WriteHeader(http.StatusAccepted)
+	})
+	return mux
+}
+
+func (e *Entry) status() Status {
+	_, no := e.refuse()
+	return Status{
+		Name: e.self.Name, Zone: e.self.Zone, Config: e.configs.Current().Version, Targets: e.targets.Current().Version,
+		Active: e.front.Active(), Pending: e.sweeper.Pending(), Draining: e.draining.Load(), Isolated: e.isolated(),
+		Ready: !no, Members: e.group.View().Members,
+	}
+}
+
+func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
+	if reason, no := e.refuse(); no {
+		http.Error(w, string(reason), http.StatusServiceUnavailable)
+	}
+}
+
+func (e *Entry) why(w http.ResponseWriter, r *http.Request) {
+	key := oplog.Key(r.URL.Query().Get("customer"), r.URL.Query().Get("key"))
+	ctx, cancel := context.WithTimeout(r.Context(), findTime.Duration())
+	defer cancel()
+	reply, err := e.find(ctx, key)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	record := reply.Record
+	answer(w, http.StatusOK, Why{
+		Found: reply.Found, State: record.State.String(), Attempt: record.Attempt,
+		Target: record.Outcome.Target, Status: record.Outcome.Status, Term: reply.Term,
+	})
+}
+
+// Drain begins a planned stop: callers are sent elsewhere, what was admitted is finished, and Run returns.
+func (e *Entry) Drain() {
+	if e.draining.Swap(true) {
+		return
+	}
+	go e.drain()
+}
+
+func (e *Entry) drain() {
+	slog.Info("drain begun", "active", e.front.Active())
+	ctx, cancel := context.WithTimeout(context.Background(), drainLimit.Duration())
+	defer cancel()
+	e.group.Leave()
+	e.unregister(ctx)
+	// Callers keep an address for a while after it was given.
+	wait(ctx, front.Keep+drainMargin)
+	e.closing.Store(true)
+	if err := e.front.Wait(ctx); err != nil {
+		slog.Warn("drain ended with requests in progress", "active", e.front.Active())
+	}
+	if err := e.log.Wait(ctx); err != nil {
+		slog.Warn("drain ended with operations in progress")
+	}
+	for e.sweeper.Pending() > 0 && ctx.Err() == nil {
+		wait(ctx, registerPause)
+	}
+	slog.Info("drain complete")
+	close(e.stop)
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/internal/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry assembles one entry instance from its slices and runs it.
+package entry
--- /dev/null
+++ b/internal/entry/register.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/member"
+	"github.com/corianderpier/corianderpier/internal/store"
+)
+
+// Prefix is that of the objects under which instances register.
+const Prefix = "entries/"
+
+const (
+	registerPause = 500 * clock.Millis(1)
+	listPeriod    = 15 * clock.Second // between looks at the registrations, by few instances
+	listers       = 2
+)
+
+// register writes this instance into the object API once, learns of the others, and keeps the list tidy.
+func (e *Entry) register(ctx context.Context, admin string) error {
+	name := Prefix + e.self.Name
+	value := encodeRegistration(registration{Member: e.self, Admin: admin})
+	for ctx.Err() == nil && !e.put(ctx, name, value) {
+		wait(ctx, registerPause)
+	}
+	for ctx.Err() == nil && !e.join(ctx) {
+		wait(ctx, registerPause)
+	}
+	for ctx.Err() == nil {
+		wait(ctx, listPeriod)
+		if e.group.View().Home(e.self.Name, "registrations", listers) {
+			e.join(ctx)
+		}
+	}
+	return nil
+}
+
+func (e *Entry) put(ctx context.Context, name string, value []byte) bool {
+	old, err := e.store.Get(ctx, name)
+	if err != nil && !store.Is(err, store.NotFound) {
+		return false
+	}
+	_, err = e.store.Put(ctx, name, old.Version, value)
+	return err == nil
+}
+
+// join learns of the registered instances and removes the registrations of dead ones.
+func (e *Entry) join(ctx context.Context) bool {
+	objects, err := e.store.List(ctx, Prefix)
+	if err != nil {
+		return false
+	}
+	known := make(map[string]member.Member)
+	for _, m := range e.group.View().Members {
+		known[m.Name] = m
+	}
+	var fresh []member.Member
+	for _, o := range objects {
+		var r registration
+		if err := json.Unmarshal(o.Value, &r); err != nil {
+			slog.Warn("registration not readable", "object", o.Name, "error", err)
+			continue
+		}
+		m, ok := known[r.Member.Name]
+		switch {
+		case !ok || m.Born < r.Member.Born:
+			fresh = append(fresh, r.Member)
+		case m.State == member.Dead && m.Born == r.Member.Born:
+			_ = e.store.Delete(ctx, o.Name, o.Version)
+		}
+	}
+	e.group.Join(fresh)
+	return true
+}
+
+// unregister removes this instance from the object API.
+func (e *Entry) unregister(ctx context.Context) {
+	name := Prefix + e.self.Name
+	o, err := e.store.Get(ctx, name)
+	if err == nil {
+		_ = e.store.Delete(ctx, name, o.Version)
+	}
+}
+
+func wait(ctx context.Context, d clock.Millis) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d.Duration()):
+	}
+}
--- /dev/null
+++ b/internal/entry/rpc.go
@@ -0,0 +1,203 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/feed"
+	"github.com/corianderpier/corianderpier/internal/member"
+	"github.com/corianderpier/corianderpier/internal/oplog"
+	"github.com/corianderpier/corianderpier/internal/peer"
+	"github.com/corianderpier/corianderpier/internal/route"
+	"github.com/corianderpier/corianderpier/internal/store"
+)
+
+// The kinds of call between instances.
+const (
+	callPing    = "ping"
+	callSync    = "sync"
+	callConfig  = "config"
+	callTargets = "targets"
+	callOpen    = "open"
+	callSubmit  = "submit"
+	callSettle  = "settle"
+	callFind    = "find"
+	callReserve = "reserve"
+	callRelease = "release"
+)
+
+type none struct{}
+
+type openRequest struct {
+	Shard int  `cbor:"1,keyasint"`
+	Force bool `cbor:"2,keyasint"` // the instances before in the rank do not answer
+}
+
+type openReply struct {
+	Term uint64 `cbor:"1,keyasint"`
+}
+
+// submitRequest carries the time left, since clocks of instances differ.
+type submitRequest struct {
+	Attempt oplog.Attempt `cbor:"1,keyasint"`
+	Left    clock.Millis  `cbor:"2,keyasint"`
+}
+
+type reserveRequest struct {
+	Ask  route.Ask    `cbor:"1,keyasint"`
+	Left clock.Millis `cbor:"2,keyasint"`
+}
+
+type findRequest struct {
+	Key string `cbor:"1,keyasint"`
+}
+
+type findReply struct {
+	Record oplog.Record `cbor:"1,keyasint"`
+	Found  bool         `cbor:"2,keyasint"`
+	Term   uint64       `cbor:"3,keyasint"`
+}
+
+type settleReply struct {
+	Taken bool `cbor:"1,keyasint"`
+}
+
+// handle registers what this instance answers to others.
+func (e *Entry) handle() {
+	peer.On(e.peers, callPing, func(context.Context, string, none) (none, error) { return none{}, nil })
+	peer.On(e.peers, callSync, func(_ context.Context, _ string, l member.List) (member.List, error) {
+		return e.group.Exchange(l), nil
+	})
+	peer.On(e.peers, callConfig, current(e.configs))
+	peer.On(e.peers, callTargets, current(e.targets))
+	peer.On(e.peers, callOpen, func(ctx context.Context, _ string, r openRequest) (openReply, error) {
+		term, err := e.openShard(ctx, r.Shard, r.Force)
+		return openReply{Term: term}, err
+	})
+	peer.On(e.peers, callSubmit, func(ctx context.Context, _ string, r submitRequest) (oplog.Reply, error) {
+		r.Attempt.Op.Deadline = clock.Now() + r.Left
+		return e.log.Submit(ctx, r.Attempt)
+	})
+	peer.On(e.peers, callSettle, func(_ context.Context, _ string, s oplog.Settlement) (settleReply, error) {
+		return settleReply{Taken: e.log.Settle(s)}, nil
+	})
+	peer.On(e.peers, callFind, func(ctx context.Context, _ string, r findRequest) (findReply, error) {
+		return e.findHere(ctx, r.Key)
+	})
+	peer.On(e.peers, callReserve, func(ctx context.Context, _ string, r reserveRequest) (route.Grant, error) {
+		r.Ask.Deadline = clock.Now() + r.Left
+		return e.ledger.Reserve(ctx, r.Ask), nil
+	})
+	peer.On(e.peers, callRelease, func(_ context.Context, _ string, a route.Ask) (none, error) {
+		e.ledger.Release(a.Service, a.Cell, a.ID)
+		return none{}, nil
+	})
+}
+
+func current(f *feed.Feed) func(context.Context, string, none) (store.Object, error) {
+	return func(context.Context, string, none) (store.Object, error) { return f.Current(), nil }
+}
+
+func (e *Entry) local(m member.Member) bool { return m.Name == e.self.Name }
+
+// openShard takes a shard over if this instance is its home, or the homes before it do not answer.
+func (e *Entry) openShard(ctx context.Context, shard int, force bool) (uint64, error) {
+	if !force && !e.group.View().Home(e.self.Name, oplog.HomeKey(shard), 1) {
+		return 0, &oplog.Error{Op: "open", Kind: oplog.NotOwner}
+	}
+	return e.log.Open(ctx, shard)
+}
+
+func (e *Entry) open(ctx context.Context, to member.Member, shard int, force bool) (uint64, error) {
+	if e.local(to) {
+		term, err := e.openShard(ctx, shard, force)
+		if err != nil {
+			return 0, &peer.Error{Op: "open", Kind: peer.Failed, Err: err}
+		}
+		return term, nil
+	}
+	var reply openReply
+	err := e.peers.Call(ctx, to.Peer, callOpen, openRequest{Shard: shard, Force: force}, &reply)
+	return reply.Term, err
+}
+
+func (e *Entry) submit(ctx context.Context, to member.Member, a oplog.Attempt) (oplog.Reply, error) {
+	if e.local(to) {
+		return e.log.Submit(ctx, a)
+	}
+	var reply oplog.Reply
+	request := submitRequest{Attempt: a, Left: a.Op.Deadline - clock.Now()}
+	err := e.peers.Call(ctx, to.Peer, callSubmit, request, &reply)
+	return reply, err
+}
+
+// settle gives a settlement to the present writer of its shard.
+func (e *Entry) settle(ctx context.Context, s oplog.Settlement) error {
+	rank := e.group.View().Rank(oplog.HomeKey(s.Shard))
+	if len(rank) == 0 {
+		return eris.New("no live instance")
+	}
+	ctx, cancel := context.WithTimeout(ctx, clock.Second.Duration())
+	defer cancel()
+	if _, err := e.open(ctx, rank[0], s.Shard, false); err != nil {
+		return err
+	}
+	taken := settleReply{}
+	if e.local(rank[0]) {
+		taken.Taken = e.log.Settle(s)
+	} else if err := e.peers.Call(ctx, rank[0].Peer, callSettle, s, &taken); err != nil {
+		return err
+	}
+	if !taken.Taken {
+		return eris.New("not the writer")
+	}
+	return nil
+}
+
+func (e *Entry) reserve(ctx context.Context, home member.Member, a route.Ask) (route.Grant, error) {
+	if e.local(home) {
+		return e.ledger.Reserve(ctx, a), nil
+	}
+	var grant route.Grant
+	request := reserveRequest{Ask: a, Left: a.Deadline - clock.Now()}
+	err := e.peers.Call(ctx, home.Peer, callReserve, request, &grant)
+	return grant, err
+}
+
+func (e *Entry) release(home member.Member, a route.Ask) {
+	if e.local(home) {
+		e.ledger.Release(a.Service, a.Cell, a.ID)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), (3 * clock.Second).Duration())
+		defer cancel()
+		// A lost release is made up for by the expiry of the grant.
+		_ = e.peers.Call(ctx, home.Peer, callRelease, a, &none{})
+	}()
+}
+
+// findHere opens the shard of a key, so that the answer is not an old one, and looks the key up.
+func (e *Entry) findHere(ctx context.Context, key string) (findReply, error) {
+	shard := oplog.ShardOf(key, e.config().Operations.Shards)
+	term, err := e.openShard(ctx, shard, false)
+	if err != nil {
+		return findReply{}, err
+	}
+	record, found := e.log.Find(shard, key)
+	return findReply{Record: record, Found: found, Term: term}, nil
+}
+
+// find asks the home of a key's shard.
+func (e *Entry) find(ctx context.Context, key string) (findReply, error) {
+	shard := oplog.ShardOf(key, e.config().Operations.Shards)
+	rank := e.group.View().Rank(oplog.HomeKey(shard))
+	if len(rank) == 0 || e.local(rank[0]) {
+		return e.findHere(ctx, key)
+	}
+	var reply findReply
+	err := e.peers.Call(ctx, rank[0].Peer, callFind, findRequest{Key: key}, &reply)
+	return reply, err
+}
--- /dev/null
+++ b/internal/fake/engine.go
@@ -0,0 +1,501 @@
+package fake
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/corianderpier/corianderpier/internal/engine"
+)
+
+const (
+	tokenBytes = 4 // bytes of text for each generated token
+	blockBytes = 4096
+	keepAlive  = 300 * time.Millisecond // between comments on a stream without new text
+)
+
+// EngineFault says what goes wrong with the answers of an engine.
+type EngineFault struct {
+	Cross   bool `json:"cross"`   // every frame names another attempt
+	Cut     int  `json:"cut"`     // closes the connection after this many frames
+	Shorten bool `json:"shorten"` // ends the answer early with a total that is too large
+	Repeat  bool `json:"repeat"`  // sends each frame twice
+	Silent  int  `json:"silent"`  // sends nothing more after this many frames and keeps the connection
+	Times   int  `json:"times"`   // how many requests the fault hits; zero for all
+	Leaving bool `json:"leaving"` // refuses new work
+}
+
+// Engine is a model engine with continuous batching, limited memory, a prefix cache and priorities.
+type Engine struct {
+	Name    string
+	Memory  int           // tokens
+	Prefill int           // prompt tokens a second
+	Step    time.Duration // between generated tokens of a stream
+	Batch   int           // streams that generate in one step
+	Lag     time.Duration // of the load report
+
+	mu       sync.Mutex
+	streams  map[string]*stream
+	reserved map[string]*reservation
+	cache    map[uint64]*block
+	cached   int // tokens
+	order    int
+	running  bool
+	report   engine.Load
+	reported time.Time
+	fault    EngineFault
+	hits     int // requests that met the fault
+}
+
+type stream struct {
+	ask      engine.Prompt
+	seed     uint64
+	order    int
+	since    time.Time
+	admitted bool
+	left     int // prompt tokens to process
+	made     int // generated tokens
+	need     int // tokens of memory here
+	gone     bool
+	readers  int // connections
+	changed  chan struct{}
+}
+
+type reservation struct {
+	ask   engine.Reservation
+	since time.Time
+}
+
+type block struct {
+	tokens int
+	used   time.Time
+}
+
+// NewEngine returns an idle engine.
+func NewEngine(name string) *Engine {
+	return &Engine{
+		Name:     name,
+		Memory:   400_000,
+		Prefill:  100_000,
+		Step:     25 * time.Millisecond,
+		Batch:    64,
+		Lag:      200 * time.Millisecond,
+		streams:  make(map[string]*stream),
+		reserved: make(map[string]*reservation),
+		cache:    make(map[uint64]*block),
+	}
+}
+
+// Answer gives the text that any engine makes of a prompt.
+func Answer(prompt string, tokens int) string {
+	return text(xxhash.Sum64String(prompt), 0, tokens)
+}
+
+func text(seed uint64, from, to int) string {
+	const letters = "abcdefghijklmnop"
+	var b strings.Builder
+	for i := from; i < to; i++ {
+		x := (seed + uint64(i)*0x9e3779b97f4a7c15) * 0xff51afd7ed558ccd
+		for range tokenBytes - 1 {
+			x ^= x >> 29
+			b.WriteByte(letters[x&15])
+			x *= 0xc4ceb9fe1a85ec53
+		}
+		b.WriteByte(' ')
+	}
+	return b.String()
+}
+
+// SetFault changes what goes wrong from now on.
+func (e *Engine) SetFault(f EngineFault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fault = f
+	e.hits = 0
+}
+
+// ServeHTTP answers the protocol of package engine.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/admin/fault":
+		var f EngineFault
+		if json.NewDecoder(r.Body).Decode(&f) == nil {
+			e.SetFault(f)
+		}
+	case r.URL.Path == engine.PathCompletions:
+		e.complete(w, r)
+	case strings.HasPrefix(r.URL.Path, engine.PathAttempts):
+		e.attempt(w, r, strings.TrimPrefix(r.URL.Path, engine.PathAttempts))
+	case r.URL.Path == engine.PathLoad:
+		_ = json.NewEncoder(w).Encode(e.load())
+	case r.URL.Path == engine.PathHeld:
+		_ = json.NewEncoder(w).Encode(e.Held())
+	case strings.HasPrefix(r.URL.Path, engine.PathHeld+"/"):
+		e.release(strings.TrimPrefix(r.URL.Path, engine.PathHeld+"/"))
+	case r.URL.Path == engine.PathReservations:
+		e.reserve(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// Held lists the memory that belongs to owners.
+func (e *Engine) Held() []engine.Holding {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	held := []engine.Holding{}
+	for id, s := range e.streams {
+		if s.admitted || !s.gone {
+			held = append(held, engine.Holding{ID: id, Owner: s.ask.Owner, Attached: s.readers > 0, Kind: engine.KindStream, Tokens: s.need, Age: time.Since(s.since).Milliseconds()})
+		}
+	}
+	for id, r := range e.reserved {
+		held = append(held, engine.Holding{ID: id, Owner: r.ask.Owner, Kind: engine.KindReservation, Tokens: r.ask.Tokens, Age: time.Since(r.since).Milliseconds()})
+	}
+	return held
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var ask engine.Prompt
+	if err := json.NewDecoder(r.Body).Decode(&ask); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s, fault := e.open(ask)
+	if s == nil {
+		w.Header().Set(engine.HeaderUntouched, "true")
+		if fault.Leaving {
+			w.Header().Set(engine.HeaderLeaving, "true")
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	e.write(w, r, s, ask.From/tokenBytes, fault)
+}
+
+// attempt resumes or cancels a stream.
+func (e *Engine) attempt(w http.ResponseWriter, r *http.Request, id string) {
+	if r.Method == http.MethodDelete {
+		e.release(id)
+		return
+	}
+	e.mu.Lock()
+	s := e.streams[id]
+	e.mu.Unlock()
+	if s == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	var ask engine.Prompt
+	_ = json.NewDecoder(r.Body).Decode(&ask)
+	e.write(w, r, s, ask.From/tokenBytes, EngineFault{})
+}
+
+func (e *Engine) open(ask engine.Prompt) (*stream, EngineFault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	fault := e.fault
+	if fault.Times > 0 && e.hits >= fault.Times {
+		fault = EngineFault{}
+	}
+	e.hits++
+	need := ask.PromptTokens + ask.MaxTokens
+	for _, span := range ask.Spans {
+		need -= span.Tokens
+	}
+	if fault.Leaving || need > e.Memory {
+		return nil, fault
+	}
+	e.order++
+	s := &stream{
+		ask: ask, seed: xxhash.Sum64String(ask.Prompt), order: e.order, since: time.Now(),
+		left: ask.PromptTokens, need: need, made: ask.From / tokenBytes, changed: make(chan struct{}),
+	}
+	s.left -= e.hit(ask)
+	e.streams[ask.Attempt] = s
+	if !e.running {
+		e.running = true
+		go e.run()
+	}
+	return s, fault
+}
+
+func (e *Engine) write(w http.ResponseWriter, r *http.Request, s *stream, from int, fault EngineFault) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	report, _ := json.Marshal(e.load())
+	w.Header().Set(engine.HeaderLoad, string(report))
+	w.WriteHeader(http.StatusOK)
+	flush := http.NewResponseController(w)
+	_ = flush.Flush()
+	e.read(s, 1)
+	defer e.read(s, -1)
+	frames := 0
+	for {
+		e.mu.Lock()
+		made, gone, changed := s.made, s.gone, s.changed
+		e.mu.Unlock()
+		done := made >= s.ask.MaxTokens
+		if made > from || (done && made == from) {
+			frame := engine.Frame{Attempt: s.ask.Attempt, Offset: from * tokenBytes, Text: text(s.seed, from, made)}
+			if done {
+				frame.Done, frame.Total = true, made*tokenBytes
+			}
+			if !e.send(w, r, frame, fault, frames) {
+				return
+			}
+			frames++
+			_ = flush.Flush()
+			from = made
+		}
+		if done {
+			e.release(s.ask.Attempt)
+			return
+		}
+		if gone {
+			panic(http.ErrAbortHandler)
+		}
+		select {
+		case <-changed:
+		case <-time.After(keepAlive):
+			_, _ = w.Write([]byte(": waiting\n\n"))
+			_ = flush.Flush()
+		case <-r.Context().Done():
+			return // the stream stays, to be resumed or cancelled
+		}
+	}
+}
+
+func (e *Engine) read(s *stream, change int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.readers += change
+}
+
+// send writes one frame and reports whether the stream goes on.
+func (e *Engine) send(w http.ResponseWriter, r *http.Request, frame engine.Frame, fault EngineFault, sent int) bool {
+	switch {
+	case fault.Cross:
+		frame.Attempt = "other-" + frame.Attempt
+	case fault.Cut > 0 && sent >= fault.Cut:
+		panic(http.ErrAbortHandler)
+	case fault.Silent > 0 && sent >= fault.Silent:
+		<-r.Context().Done()
+		return false
+	case fault.Shorten && sent > 0:
+		frame.Done, frame.Total, frame.Text = true, frame.Offset+len(frame.Text)+tokenBytes, ""
+	}
+	event(w, frame)
+	if fault.Repeat {
+		event(w, frame)
+	}
+	return !(fault.Shorten && frame.Done)
+}
+
+func event(w http.ResponseWriter, frame engine.Frame) {
+	data, _ := json.Marshal(frame)
+	_, _ = w.Write([]byte("data: " + string(data) + "\n\n"))
+}
+
+func (e *Engine) release(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.reserved, id)
+	s := e.streams[id]
+	if s == nil {
+		return
+	}
+	s.gone = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+	delete(e.streams, id)
+	if s.admitted && s.left <= 0 {
+		e.keep(s.ask)
+	}
+}
+
+func (e *Engine) reserve(w http.ResponseWriter, r *http.Request) {
+	var ask engine.Reservation
+	if err := json.NewDecoder(r.Body).Decode(&ask); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.reserved[ask.ID] != nil {
+		return
+	}
+	if e.used()+ask.Tokens > e.Memory {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	e.evict(e.Memory - e.used() - ask.Tokens)
+	e.reserved[ask.ID] = &reservation{ask: ask, since: time.Now()}
+}
+
+func (e *Engine) load() engine.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if time.Since(e.reported) < e.Lag {
+		return e.report
+	}
+	e.reported = time.Now()
+	report := engine.Load{Used: e.used(), Memory: e.Memory, Prefill: e.Prefill, Leaving: e.fault.Leaving}
+	for _, s := range e.streams {
+		if s.admitted {
+			report.Running++
+		} else {
+			report.Waiting++
+		}
+		report.Backlog += max(s.left, 0)
+	}
+	old := e.report
+	e.report = report
+	if old.Memory == 0 {
+		return report
+	}
+	return old
+}
+
+func (e *Engine) run() {
+	ticker := time.NewTicker(e.Step)
+	defer ticker.Stop()
+	last := time.Now()
+	for range ticker.C {
+		now := time.Now()
+		if !e.step(now.Sub(last)) {
+			return
+		}
+		last = now
+	}
+}
+
+// step admits, processes prompts and generates; it reports whether any stream is left.
+func (e *Engine) step(passed time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.streams) == 0 {
+		e.running = false
+		return false
+	}
+	streams := make([]*stream, 0, len(e.streams))
+	for _, s := range e.streams {
+		streams = append(streams, s)
+	}
+	slices.SortFunc(streams, func(a, b *stream) int {
+		if a.ask.Priority != b.ask.Priority {
+			return b.ask.Priority - a.ask.Priority
+		}
+		return a.order - b.order
+	})
+	e.admit(streams)
+	budget := int(float64(e.Prefill) * passed.Seconds())
+	batch := e.Batch
+	for _, s := range streams {
+		if !s.admitted {
+			continue
+		}
+		if s.left > 0 {
+			used := min(budget, s.left)
+			s.left -= used
+			budget -= used
+		}
+		if s.left <= 0 && s.made < s.ask.MaxTokens && batch > 0 {
+			batch--
+			s.made++
+			close(s.changed)
+			s.changed = make(chan struct{})
+		}
+	}
+	return true
+}
+
+// admit gives memory in order and stops at the first request that does not fit.
+func (e *Engine) admit(streams []*stream) {
+	for _, s := range streams {
+		if s.admitted {
+			continue
+		}
+		free := e.Memory - e.used()
+		if s.need > free {
+			return
+		}
+		s.admitted = true
+		e.evict(free - s.need)
+	}
+}
+
+func (e *Engine) used() int {
+	used := 0
+	for _, s := range e.streams {
+		if s.admitted {
+			used += s.need
+		}
+	}
+	for _, r := range e.reserved {
+		used += r.ask.Tokens
+	}
+	return used
+}
+
+// hit returns how many prompt tokens the cache spares.
+func (e *Engine) hit(ask engine.Prompt) int {
+	spared := 0
+	for key, tokens := range blocks(ask) {
+		b := e.cache[key]
+		if b == nil {
+			break
+		}
+		b.used = time.Now()
+		spared += tokens
+	}
+	return min(spared, ask.PromptTokens-1)
+}
+
+func (e *Engine) keep(ask engine.Prompt) {
+	for key, tokens := range blocks(ask) {
+		if e.cache[key] == nil {
+			e.cache[key] = &block{tokens: tokens, used: time.Now()}
+			e.cached += tokens
+		}
+	}
+	e.evict(e.Memory - e.used())
+}
+
+// evict drops the least recently used blocks until the cache fits.
+func (e *Engine) evict(room int) {
+	if e.cached <= room {
+		return
+	}
+	keys := make([]uint64, 0, len(e.cache))
+	for key := range e.cache {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool { return e.cache[keys[i]].used.Before(e.cache[keys[j]].used) })
+	for _, key := range keys {
+		if e.cached <= room {
+			return
+		}
+		e.cached -= e.cache[key].tokens
+		delete(e.cache, key)
+	}
+}
+
+// blocks yields the running hash and the tokens of each block of a prompt.
+func blocks(ask engine.Prompt) func(yield func(uint64, int) bool) {
+	return func(yield func(uint64, int) bool) {
+		n := len(ask.Prompt) / blockBytes
+		digest := xxhash.New()
+		for i := range n {
+			_, _ = digest.WriteString(ask.Prompt[i*blockBytes : (i+1)*blockBytes])
+			if !yield(digest.Sum64(), ask.PromptTokens/n) {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/fake/store.go
@@ -0,0 +1,219 @@
+package fake
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/corianderpier/corianderpier/internal/store"
+)
+
+const maxWatch = 30 * time.Second
+
+// StoreFault says what goes wrong with one call of the object API.
+type StoreFault struct {
+	Delay      time.Duration // before the call takes effect
+	Refuse     bool          // answers 503 and does nothing
+	LoseAnswer bool          // takes effect, then drops the connection
+	Late       time.Duration // drops the connection at once and takes effect after this long
+	Stale      bool          // a read answers with the version before the present one
+}
+
+// Store is an object API in memory.
+type Store struct {
+	Fault func(r *http.Request) StoreFault // nil for none
+
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]store.Object
+	previous map[string]store.Object
+	changed  chan struct{}
+	calls    map[string]int
+}
+
+// NewStore returns an empty object API.
+func NewStore() *Store {
+	return &Store{
+		objects:  make(map[string]store.Object),
+		previous: make(map[string]store.Object),
+		changed:  make(chan struct{}),
+		calls:    make(map[string]int),
+	}
+}
+
+// Calls returns how often each method was called, and resets the counts.
+func (s *Store) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calls := s.calls
+	s.calls = make(map[string]int)
+	return calls
+}
+
+// ServeHTTP answers the protocol that package store describes.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls[r.Method]++
+	s.mu.Unlock()
+	body, err := io.ReadAll(io.LimitReader(r.Body, store.MaxValue+1))
+	if err != nil {
+		return
+	}
+	var fault StoreFault
+	if s.Fault != nil {
+		fault = s.Fault(r)
+	}
+	if fault.Late > 0 {
+		time.AfterFunc(fault.Late, func() { s.serve(discardWriter{}, r, body, fault) })
+		panic(http.ErrAbortHandler)
+	}
+	if !sleep(r, fault.Delay) {
+		return
+	}
+	if fault.Refuse {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if fault.LoseAnswer {
+		s.serve(discardWriter{}, r, body, fault)
+		panic(http.ErrAbortHandler)
+	}
+	s.serve(w, r, body, fault)
+}
+
+func (s *Store) serve(w http.ResponseWriter, r *http.Request, body []byte, fault StoreFault) {
+	if r.URL.Path == "/list" {
+		s.list(w, r.URL.Query().Get("prefix"))
+		return
+	}
+	name := strings.TrimPrefix(r.URL.Path, "/objects/")
+	switch r.Method {
+	case http.MethodGet:
+		s.get(w, r, name, fault.Stale)
+	case http.MethodPut:
+		s.put(w, r, name, body)
+	case http.MethodDelete:
+		s.delete(w, r, name)
+	default:
+		w.WriteHeader(http.StatusMethodNotAllowed)
+	}
+}
+
+func (s *Store) list(w http.ResponseWriter, prefix string) {
+	s.mu.Lock()
+	found := []store.Object{}
+	for name, object := range s.objects {
+		if strings.HasPrefix(name, prefix) {
+			found = append(found, object)
+		}
+	}
+	s.mu.Unlock()
+	sort.Slice(found, func(i, j int) bool { return found[i].Name < found[j].Name })
+	_ = json.NewEncoder(w).Encode(found)
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request, name string, stale bool) {
+	above, _ := strconv.ParseUint(r.URL.Query().Get("above"), 10, 64)
+	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
+	timer := time.NewTimer(min(wait, maxWatch))
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		object, ok := s.objects[name]
+		if old, had := s.previous[name]; stale && had {
+			object = old
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		if ok && (object.Version > above || wait == 0) {
+			w.Header().Set("ETag", tag(object.Version))
+			_, _ = w.Write(object.Value)
+			return
+		}
+		if !ok && wait == 0 {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-timer.C:
+			w.Header().Set("ETag", tag(object.Version))
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+	}
+}
+
+func (s *Store) put(w http.ResponseWriter, r *http.Request, name string, value []byte) {
+	if len(value) > store.MaxValue {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.allowed(r, name) {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
+	s.revision++
+	if old, ok := s.objects[name]; ok {
+		s.previous[name] = old
+	}
+	s.objects[name] = store.Object{Name: name, Version: s.revision, Value: value}
+	s.wake()
+	w.Header().Set("ETag", tag(s.revision))
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Store) delete(w http.ResponseWriter, r *http.Request, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.allowed(r, name) {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
+	delete(s.objects, name)
+	s.wake()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Store) allowed(r *http.Request, name string) bool {
+	object, ok := s.objects[name]
+	if r.Header.Get("If-None-Match") == "*" {
+		return !ok
+	}
+	want := r.Header.Get("If-Match")
+	return want == "" || (ok && want == tag(object.Version))
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func tag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
+
+func sleep(r *http.Request, d time.Duration) bool {
+	if d == 0 {
+		return true
+	}
+	select {
+	case <-time.After(d):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+type discardWriter struct{}
+
+func (discardWriter) Header() http.Header         { return http.Header{} }
+func (discardWriter) Write(p []byte) (int, error) { return len(p), nil }
+func (discardWriter) WriteHeader(int)             {}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,178 @@
+package feed
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/store"
+)
+
+const (
+	watchTime   = 10 * clock.Second // of one watch call
+	pollPeriod  = 20 * clock.Second // for instances that do not watch
+	startPeriod = 200 * clock.Millis(1)
+	retryPause  = 500 * clock.Millis(1)
+)
+
+// Feed follows one object.
+type Feed struct {
+	Name     string
+	Read     func(ctx context.Context) (store.Object, error)
+	Watch    func(ctx context.Context, above uint64, wait clock.Millis) (store.Object, error)
+	Fetch    func(ctx context.Context, peer string) (store.Object, error) // from another instance
+	Peers    func() []string                                              // addresses of other instances
+	Watching func() bool                                                  // whether this instance is to watch
+	Accept   func(o store.Object) error                                   // takes a newer version into force
+
+	mu      sync.Mutex
+	current atomic.Pointer[store.Object]
+	hints   chan hint
+	reached atomic.Int64 // when the source last answered, milliseconds
+}
+
+type hint struct {
+	version uint64
+	peer    string
+}
+
+// Start prepares the feed.
+func (f *Feed) Start() { f.hints = make(chan hint, 1) }
+
+// Current returns the object in force; its version is zero before the first.
+func (f *Feed) Current() store.Object {
+	if o := f.current.Load(); o != nil {
+		return *o
+	}
+	return store.Object{}
+}
+
+// Reached returns when the source last answered.
+func (f *Feed) Reached() clock.Millis { return clock.Millis(f.reached.Load()) }
+
+// Hint tells the feed that a peer has a version.
+func (f *Feed) Hint(version uint64, peer string) {
+	if version <= f.Current().Version {
+		return
+	}
+	select {
+	case f.hints <- hint{version, peer}:
+	default:
+	}
+}
+
+// Run follows the object until the context ends.
+func (f *Feed) Run(ctx context.Context) error {
+	go f.watch(ctx)
+	for ctx.Err() == nil {
+		wait := pollPeriod
+		if f.Current().Version == 0 {
+			wait = startPeriod
+			f.begin(ctx)
+		}
+		select {
+		case <-ctx.Done():
+		case h := <-f.hints:
+			f.follow(ctx, h)
+		case <-time.After(wait.Duration()):
+			f.poll(ctx)
+		}
+	}
+	return nil
+}
+
+// begin asks the source and some peers, since a starting instance cannot tell an old version from the newest.
+func (f *Feed) begin(ctx context.Context) {
+	var group sync.WaitGroup
+	peers := f.Peers()
+	for _, peer := range peers[:min(len(peers), 3)] {
+		group.Go(func() { f.fetch(ctx, peer) })
+	}
+	group.Go(func() { f.poll(ctx) })
+	group.Wait()
+}
+
+func (f *Feed) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !f.Watching() || f.Current().Version == 0 {
+			pause(ctx, retryPause)
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, 2*watchTime.Duration())
+		o, err := f.Watch(ctx, f.Current().Version, watchTime)
+		cancel()
+		if err != nil {
+			f.failed("watch", err)
+			pause(ctx, retryPause)
+			continue
+		}
+		f.reached.Store(int64(clock.Now()))
+		f.take(o)
+	}
+}
+
+func (f *Feed) poll(ctx context.Context) {
+	o, err := f.Read(ctx)
+	if err != nil {
+		f.failed("read", err)
+		return
+	}
+	f.reached.Store(int64(clock.Now()))
+	f.take(o)
+}
+
+// follow reads a version that a peer is known to have.
+func (f *Feed) follow(ctx context.Context, h hint) {
+	f.poll(ctx)
+	if f.Current().Version < h.version {
+		f.fetch(ctx, h.peer)
+	}
+}
+
+func (f *Feed) fetch(ctx context.Context, peer string) {
+	ctx, cancel := context.WithTimeout(ctx, clock.Second.Duration())
+	defer cancel()
+	o, err := f.Fetch(ctx, peer)
+	if err != nil {
+		f.failed("fetch", err)
+		return
+	}
+	f.take(o)
+}
+
+func (f *Feed) take(o store.Object) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	highest := f.Current().Version
+	if o.Version < highest {
+		metrics.GetOrCreateCounter(`pier_feed_refused_total{feed="` + f.Name + `",reason="older"}`).Inc()
+		return
+	}
+	if o.Version == highest || len(o.Value) == 0 {
+		return
+	}
+	if err := f.Accept(o); err != nil {
+		metrics.GetOrCreateCounter(`pier_feed_refused_total{feed="` + f.Name + `",reason="invalid"}`).Inc()
+		slog.Error("object refused", "feed", f.Name, "version", o.Version, "error", err)
+		return
+	}
+	f.current.Store(&o)
+	slog.Info("object in force", "feed", f.Name, "version", o.Version)
+}
+
+func (f *Feed) failed(call string, err error) {
+	metrics.GetOrCreateCounter(`pier_feed_failed_total{feed="` + f.Name + `",call="` + call + `"}`).Inc()
+	slog.Debug("source not reached", "feed", f.Name, "call", call, "error", err)
+}
+
+func pause(ctx context.Context, d clock.Millis) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d.Duration()):
+	}
+}
--- /dev/null
+++ b/internal/flow/call.go
@@ -0,0 +1,113 @@
+package flow
+
+import (
+	"context"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/engine"
+	"github.com/corianderpier/corianderpier/internal/oplog"
+	"github.com/corianderpier/corianderpier/internal/route"
+	"github.com/corianderpier/corianderpier/internal/target"
+	"github.com/corianderpier/corianderpier/pkg/wire"
+)
+
+// Calls has plain services act.
+type Calls struct {
+	Table *route.Table
+	Links *target.Links
+	Log   *oplog.Caller
+}
+
+// Run has a plain service act: through the operation log if the profile is not idempotent.
+func (c *Calls) Run(ctx context.Context, job Job) (wire.Result, error) {
+	if job.Profile.Idempotent {
+		return c.repeatable(ctx, job)
+	}
+	reply := c.Log.Do(ctx, oplog.Op{
+		Key: oplog.Key(job.Customer.Name, job.Key), Digest: oplog.Digest(job.Profile.Name, job.Body),
+		Request: job.ID, Profile: job.Profile.Name, Service: job.Profile.Service,
+		Caller: job.Key, Body: job.Body, Deadline: job.Deadline,
+	})
+	switch reply.Verdict {
+	case oplog.VerdictDone:
+		return c.result(job, reply)
+	case oplog.VerdictConflict:
+		return wire.Result{}, &Error{Op: "call", Kind: wire.ReasonKeyConflict, Ran: wire.RanNo}
+	case oplog.VerdictNotRun:
+		return wire.Result{}, &Error{Op: "call", Kind: wire.Reason(reply.Reason), Ran: wire.RanNo}
+	default:
+		return wire.Result{}, &Error{Op: "call", Kind: wire.ReasonOutcomeLost, Ran: wire.RanUnknown}
+	}
+}
+
+func (c *Calls) result(job Job, reply oplog.Reply) (wire.Result, error) {
+	if reply.Outcome.Status == 0 {
+		// It ran, and its answer was too large for the log to keep.
+		return wire.Result{}, &Error{Op: "call", Kind: wire.ReasonOutcomeLost, Ran: wire.RanYes}
+	}
+	return wire.Result{
+		Request: job.ID, Ran: wire.RanYes, Status: reply.Outcome.Status, Body: reply.Outcome.Body,
+		Target: reply.Outcome.Target, Joined: reply.Joined,
+	}, nil
+}
+
+// Dispatch has a plain service act for the operation log; only a proof of not run lets it try another target.
+func (c *Calls) Dispatch(ctx context.Context, attempt string, op oplog.Op) oplog.Result {
+	exclude := make(map[string]bool)
+	for {
+		lease, err := c.acquire(ctx, attempt, op.Service, op.Deadline, exclude)
+		if err != nil {
+			return oplog.Result{State: oplog.NotRun, Reason: string(route.ReasonOf(err))}
+		}
+		if clock.Now() >= op.Deadline {
+			lease.End(true, false)
+			return oplog.Result{State: oplog.NotRun, Reason: string(wire.ReasonDeadline)}
+		}
+		body, status, err := c.act(ctx, lease, engine.Act{Attempt: attempt, Key: op.Caller, Profile: op.Profile, Body: op.Body})
+		if err == nil {
+			return oplog.Result{State: oplog.Done, Outcome: oplog.Outcome{Status: status, Body: body, Target: lease.Target.ID}}
+		}
+		if !untouched(err) {
+			return oplog.Result{State: oplog.Unknown, Reason: string(wire.ReasonOutcomeLost)}
+		}
+		countRetry(string(target.KindOf(err)))
+		exclude[lease.Target.ID] = true
+	}
+}
+
+// repeatable tries targets until one answers.
+func (c *Calls) repeatable(ctx context.Context, job Job) (wire.Result, error) {
+	ctx, cancel := context.WithDeadline(ctx, job.Deadline.Time())
+	defer cancel()
+	exclude := make(map[string]bool)
+	ran := wire.RanNo
+	for {
+		lease, err := c.acquire(ctx, job.ID, job.Profile.Service, job.Deadline, exclude)
+		if err != nil {
+			return wire.Result{}, &Error{Op: "call", Kind: route.ReasonOf(err), Ran: ran, Err: err}
+		}
+		body, status, err := c.act(ctx, lease, engine.Act{Attempt: job.ID, Key: job.Key, Profile: job.Profile.Name, Body: job.Body})
+		if err == nil {
+			return wire.Result{Request: job.ID, Ran: wire.RanYes, Status: status, Body: body, Target: lease.Target.ID}, nil
+		}
+		if !untouched(err) {
+			ran = wire.RanUnknown
+		}
+		if ctx.Err() != nil {
+			return wire.Result{}, &Error{Op: "call", Kind: wire.ReasonDeadline, Ran: ran, Err: err}
+		}
+		countRetry(string(target.KindOf(err)))
+		exclude[lease.Target.ID] = true
+	}
+}
+
+func (c *Calls) acquire(ctx context.Context, id, service string, deadline clock.Millis, exclude map[string]bool) (*route.Lease, error) {
+	return c.Table.Acquire(ctx, route.Request{ID: id, Service: service, Deadline: deadline, Exclude: exclude})
+}
+
+func (c *Calls) act(ctx context.Context, lease *route.Lease, ask engine.Act) (string, int, error) {
+	body, status, err := c.Links.Act(ctx, lease.Target.Addr, ask)
+	leaving := err != nil && target.KindOf(err) == target.Leaving
+	lease.End(err == nil || ctx.Err() != nil, leaving)
+	return body, status, err
+}
--- /dev/null
+++ b/internal/member/view.go
@@ -0,0 +1,120 @@
+package member
+
+import (
+	"slices"
+	"sort"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// State is what is believed of an instance.
+type State uint8
+
+// The states, in the order in which they override one another within one incarnation.
+const (
+	Alive State = iota
+	Leaving
+	Suspect
+	Dead
+)
+
+// String names the state.
+func (s State) String() string {
+	return [...]string{"alive", "leaving", "suspect", "dead"}[s]
+}
+
+// Member is what is known of one entry instance.
+type Member struct {
+	Name        string `cbor:"1,keyasint" json:"name"`
+	Zone        string `cbor:"2,keyasint" json:"zone"`
+	Addr        string `cbor:"3,keyasint" json:"addr"` // for callers
+	Peer        string `cbor:"4,keyasint" json:"peer"` // for other instances
+	Incarnation uint64 `cbor:"5,keyasint" json:"incarnation"`
+	Born        uint64 `cbor:"6,keyasint" json:"born"` // first incarnation of the process
+	State       State  `cbor:"7,keyasint" json:"state"`
+}
+
+// WithState returns a copy in another state.
+func (m Member) WithState(s State) Member {
+	m.State = s
+	return m
+}
+
+// WithIncarnation returns a copy under another incarnation.
+func (m Member) WithIncarnation(n uint64) Member {
+	m.Incarnation = n
+	return m
+}
+
+// Owner identifies the process: the instance and its first incarnation.
+func (m Member) Owner() string { return m.Name + "/" + strconv.FormatUint(m.Born, 10) }
+
+// newer reports whether m overrides what is known in old.
+func (m Member) newer(old Member) bool {
+	if m.Incarnation != old.Incarnation {
+		return m.Incarnation > old.Incarnation
+	}
+	return m.State > old.State
+}
+
+// View is an immutable list of the known instances, sorted by name.
+type View struct {
+	Members []Member
+}
+
+// Live returns the instances that are neither dead nor leaving.
+func (v View) Live() []Member {
+	return v.filter(func(m Member) bool { return m.State == Alive || m.State == Suspect })
+}
+
+// Present returns the instances that are not dead.
+func (v View) Present() []Member {
+	return v.filter(func(m Member) bool { return m.State != Dead })
+}
+
+// Has reports whether the process with this owner identity is not known to be gone.
+func (v View) Has(owner string) bool {
+	return slices.ContainsFunc(v.Members, func(m Member) bool { return m.State != Dead && m.Owner() == owner })
+}
+
+// Rank orders the live instances by rendezvous hash for a key; the first is its home.
+func (v View) Rank(key string) []Member { return Rank(v.Live(), key) }
+
+// Home reports whether the named instance is among the first n of the rank for a key.
+func (v View) Home(name, key string, n int) bool {
+	rank := v.Rank(key)
+	return slices.ContainsFunc(rank[:min(n, len(rank))], func(m Member) bool { return m.Name == name })
+}
+
+// Rank orders instances by rendezvous hash for a key.
+func Rank(members []Member, key string) []Member {
+	type scored struct {
+		member Member
+		score  uint64
+	}
+	ranked := make([]scored, len(members))
+	for i, m := range members {
+		ranked[i] = scored{m, xxhash.Sum64String(key + "\x00" + m.Name)}
+	}
+	sort.Slice(ranked, func(i, j int) bool { return ranked[i].score > ranked[j].score })
+	out := make([]Member, len(ranked))
+	for i, s := range ranked {
+		out[i] = s.member
+	}
+	return out
+}
+
+func (v View) filter(keep func(Member) bool) []Member {
+	var out []Member
+	for _, m := range v.Members {
+		if keep(m) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func hash(m Member) uint64 {
+	return xxhash.Sum64String(m.Name) ^ (m.Incarnation*8+uint64(m.State))*0x9e3779b97f4a7c15
+}
--- /dev/null
+++ b/internal/oplog/shard.go
@@ -0,0 +1,458 @@
+package oplog
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/time/rate"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/loop"
+	"github.com/corianderpier/corianderpier/internal/store"
+)
+
+const (
+	openTime     = 5 * clock.Second // for a takeover
+	verdictGrace = 100 * clock.Millis(1)
+	foreignCheck = 200 * clock.Millis(1) // between looks at former writers
+	maxStored    = 64 << 10              // bytes of an outcome's body that the log keeps
+)
+
+// shard is the state of one shard on one instance; it belongs to the shard's loop.
+type shard struct {
+	log   *Log
+	n     int
+	loop  *loop.Loop
+	limit *rate.Limiter
+
+	owned    bool
+	term     uint64
+	version  uint64
+	entries  map[string]*entry
+	segments []segment
+	stored   map[string]bool // keys of records that are in segments
+	spent    []segment       // dropped from the page, to be deleted
+
+	opening []chan opened
+	dirty   bool
+	writing bool
+	waiting bool // for the rate limit
+}
+
+type opened struct {
+	term uint64
+	err  error
+}
+
+type entry struct {
+	Record
+	op         Op
+	waiters    []waiter
+	written    bool // part of an update
+	dispatched bool
+	cancelled  bool // never to be dispatched
+}
+
+type waiter struct {
+	attempt string
+	reply   chan Reply
+}
+
+// answer replies to all who wait for the operation.
+func (e *entry) answer(r Reply) {
+	for _, w := range e.waiters {
+		reply := r
+		reply.Joined = r.Verdict == VerdictDone && w.attempt != e.Attempt
+		w.reply <- reply
+	}
+	e.waiters = nil
+}
+
+// open answers with the term, after a takeover if this instance does not write the shard.
+func (s *shard) open(done chan opened) {
+	if s.owned {
+		done <- opened{term: s.term}
+		return
+	}
+	s.opening = append(s.opening, done)
+	if len(s.opening) > 1 {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(s.log.ctx, openTime.Duration())
+		defer cancel()
+		taken, err := s.log.takeOver(ctx, s.n)
+		s.loop.Post(func() { s.opened(taken, err) })
+	}()
+}
+
+func (s *shard) opened(taken takeover, err error) {
+	if err == nil {
+		s.install(taken)
+	}
+	for _, done := range s.opening {
+		done <- opened{term: taken.page.Term, err: err}
+	}
+	s.opening = nil
+}
+
+func (s *shard) install(taken takeover) {
+	counter("takeovers").Inc()
+	s.owned, s.term, s.version = true, taken.page.Term, taken.version
+	s.segments = taken.page.Segments
+	s.entries = make(map[string]*entry, len(taken.page.Records)+len(taken.older))
+	s.stored = make(map[string]bool, len(taken.older))
+	for _, r := range taken.older {
+		s.entries[r.Key] = &entry{Record: r, written: true}
+		s.stored[r.Key] = true
+	}
+	for _, r := range taken.page.Records {
+		s.entries[r.Key] = &entry{Record: r, written: true}
+		delete(s.stored, r.Key)
+	}
+	s.watchForeign(s.term)
+}
+
+// submit takes an attempt, joins it to an earlier one, or says why not.
+func (s *shard) submit(a Attempt, reply chan Reply) {
+	if !s.owned || a.Term != s.term {
+		reply <- Reply{Verdict: VerdictWrongTerm, Term: s.ownTerm()}
+		return
+	}
+	e := s.entries[a.Op.Key]
+	if e == nil {
+		s.begin(a, reply)
+		return
+	}
+	switch {
+	case e.Digest != a.Op.Digest:
+		reply <- Reply{Verdict: VerdictConflict, Term: s.term}
+	case e.State == Done:
+		reply <- Reply{Verdict: VerdictDone, Term: s.term, Outcome: e.Outcome, Joined: true}
+	case e.State == Unknown:
+		reply <- Reply{Verdict: VerdictUnknown, Term: s.term}
+	case e.cancelled:
+		reply <- Reply{Verdict: VerdictNotRun, Term: s.term, Reason: "log_unavailable"}
+	default:
+		e.waiters = append(e.waiters, waiter{attempt: a.ID, reply: reply})
+		s.giveUpAt(e, a.Op.Deadline)
+	}
+}
+
+func (s *shard) begin(a Attempt, reply chan Reply) {
+	if clock.Now() >= a.Op.Deadline {
+		reply <- Reply{Verdict: VerdictNotRun, Term: s.term, Reason: "deadline"}
+		return
+	}
+	e := &entry{
+		Record: Record{
+			Key: a.Op.Key, Digest: a.Op.Digest, Term: s.term, Attempt: a.ID,
+			Writer: s.log.Self, State: Sent, At: clock.Now(),
+		},
+		op:      a.Op,
+		waiters: []waiter{{attempt: a.ID, reply: reply}},
+	}
+	s.entries[a.Op.Key] = e
+	s.log.active.Add(1)
+	s.giveUpAt(e, a.Op.Deadline)
+	s.change()
+}
+
+// giveUpAt answers those who wait for an operation once the deadline has passed.
+func (s *shard) giveUpAt(e *entry, deadline clock.Millis) {
+	wait := deadline - clock.Now()
+	if e.dispatched || e.Term != s.term {
+		wait += verdictGrace
+	}
+	time.AfterFunc(wait.Duration(), func() {
+		s.loop.Post(func() { s.giveUp(e, s.term) })
+	})
+}
+
+func (s *shard) giveUp(e *entry, term uint64) {
+	if len(e.waiters) == 0 {
+		return
+	}
+	if e.dispatched {
+		// The dispatch ends at the same deadline and answers first.
+		time.AfterFunc(verdictGrace.Duration(), func() {
+			s.loop.Post(func() { e.answer(Reply{Verdict: VerdictUnknown, Term: term}) })
+		})
+		return
+	}
+	if e.Term != term || e.Writer != s.log.Self {
+		e.answer(Reply{Verdict: VerdictUnknown, Term: term})
+		return
+	}
+	s.cancel(e, "log_unavailable")
+}
+
+// cancel makes sure that an operation of this term is never dispatched, and says so.
+func (s *shard) cancel(e *entry, reason string) {
+	e.cancelled = true
+	s.log.active.Add(-1)
+	e.answer(Reply{Verdict: VerdictNotRun, Term: e.Term, Reason: reason})
+	if !e.written && s.entries[e.Key] == e {
+		delete(s.entries, e.Key)
+	}
+}
+
+// change marks the shard as changed and writes it as soon as the rate allows.
+func (s *shard) change() {
+	s.dirty = true
+	s.flush()
+}
+
+func (s *shard) flush() {
+	if !s.owned || s.writing || s.waiting || !s.dirty {
+		return
+	}
+	if wait := s.limit.Reserve().Delay(); wait > 0 {
+		s.waiting = true
+		time.AfterFunc(wait, func() {
+			s.loop.Post(func() {
+				s.waiting = false
+				if s.owned && !s.writing && s.dirty {
+					s.write()
+				}
+			})
+		})
+		return
+	}
+	s.write()
+}
+
+func (s *shard) write() {
+	s.dirty, s.writing = false, true
+	s.prune()
+	plan := s.plan()
+	term := s.term
+	go func() {
+		version, won, err := s.log.carryOut(s.log.ctx, plan)
+		s.loop.Post(func() { s.wrote(plan, term, version, won, err) })
+	}()
+}
+
+func (s *shard) wrote(p plan, term, version uint64, won bool, err error) {
+	if !s.owned || s.term != term {
+		return
+	}
+	s.writing = false
+	if err != nil || !won {
+		s.stepDown()
+		return
+	}
+	s.version = version
+	s.segments = p.page.Segments
+	for _, r := range p.moved {
+		s.stored[r.Key] = true
+	}
+	for _, e := range p.fresh {
+		if e.cancelled {
+			delete(s.entries, e.Key)
+			s.dirty = true
+			continue
+		}
+		s.dispatch(e)
+	}
+	s.deleteSpent()
+	s.flush()
+}
+
+func (s *shard) dispatch(e *entry) {
+	e.dispatched = true
+	go func() {
+		wait := e.op.Deadline - clock.Now()
+		ctx, cancel := context.WithTimeout(s.log.ctx, wait.Duration())
+		defer cancel()
+		result := s.log.Dispatch(ctx, e.Attempt, e.op)
+		s.loop.Post(func() { s.finish(e, result) })
+	}()
+}
+
+// finish records what became of a dispatch, here or with the present writer.
+func (s *shard) finish(e *entry, r Result) {
+	defer s.log.active.Add(-1)
+	counter("finished_" + r.State.metric()).Inc()
+	switch r.State {
+	case Done:
+		e.answer(Reply{Verdict: VerdictDone, Term: e.Term, Outcome: r.Outcome})
+	case NotRun:
+		e.answer(Reply{Verdict: VerdictNotRun, Term: e.Term, Reason: r.Reason})
+	default:
+		e.answer(Reply{Verdict: VerdictUnknown, Term: e.Term, Reason: r.Reason})
+	}
+	settlement := Settlement{Shard: s.n, Key: e.Key, Attempt: e.Attempt, State: r.State, Outcome: r.Outcome}
+	if s.owned {
+		s.settle(settlement)
+		return
+	}
+	go s.log.forward(settlement)
+}
+
+// settle records the end of an attempt that the log holds as sent.
+func (s *shard) settle(t Settlement) {
+	e := s.entries[t.Key]
+	if e == nil || e.Attempt != t.Attempt || e.State == Done {
+		return
+	}
+	delete(s.stored, t.Key) // the newer record goes to the page
+	switch t.State {
+	case Done:
+		e.Record = e.WithOutcome(storable(t.Outcome))
+		e.answer(Reply{Verdict: VerdictDone, Term: s.term, Outcome: t.Outcome})
+	case NotRun:
+		delete(s.entries, t.Key)
+		e.answer(Reply{Verdict: VerdictNotRun, Term: s.term, Reason: "target_failed"})
+	default:
+		e.Record = e.WithState(Unknown)
+		e.answer(Reply{Verdict: VerdictUnknown, Term: s.term})
+	}
+	s.change()
+}
+
+// stepDown gives the shard up after another instance took it over.
+func (s *shard) stepDown() {
+	counter("step_downs").Inc()
+	s.owned, s.dirty, s.writing = false, false, false
+	s.spent = nil // the update that drops them did not take effect
+	for _, e := range s.entries {
+		if e.finished() || e.dispatched || e.cancelled {
+			continue
+		}
+		e.answer(Reply{Verdict: VerdictMoved, Term: s.term})
+		if e.Writer != s.log.Self || e.Term != s.term {
+			continue
+		}
+		e.cancelled = true
+		s.log.active.Add(-1)
+		if e.written {
+			go s.log.forward(Settlement{Shard: s.n, Key: e.Key, Attempt: e.Attempt, State: NotRun})
+		}
+	}
+	s.entries = nil
+}
+
+// watchForeign declares the operations of former writers that are gone unknown.
+func (s *shard) watchForeign(term uint64) {
+	if !s.owned || s.term != term {
+		return
+	}
+	left, changed := false, false
+	for _, e := range s.entries {
+		if e.State != Sent || e.Term == s.term {
+			continue
+		}
+		if s.log.Alive(e.Writer) {
+			left = true
+			continue
+		}
+		e.Record = e.WithState(Unknown)
+		e.answer(Reply{Verdict: VerdictUnknown, Term: s.term})
+		changed = true
+	}
+	if changed {
+		s.change()
+	}
+	if left {
+		time.AfterFunc(foreignCheck.Duration(), func() {
+			s.loop.Post(func() { s.watchForeign(term) })
+		})
+	}
+}
+
+func (s *shard) ownTerm() uint64 {
+	if s.owned {
+		return s.term
+	}
+	return 0
+}
+
+func (s *shard) deleteSpent() {
+	spent := s.spent
+	s.spent = nil
+	if len(spent) == 0 {
+		return
+	}
+	go func() {
+		for _, old := range spent {
+			s.log.remove(old.Name)
+		}
+	}()
+}
+
+func (l *Log) remove(name string) {
+	object, err := l.Get(l.ctx, name)
+	if err != nil {
+		return
+	}
+	_ = l.Delete(l.ctx, name, object.Version)
+}
+
+// storable leaves out a body that is too large to keep.
+func storable(o Outcome) Outcome {
+	if len(o.Body) > maxStored {
+		o.Body, o.Status = "", 0
+	}
+	return o
+}
+
+func (s State) metric() string {
+	if s == NotRun {
+		return "not_run"
+	}
+	return s.String()
+}
+
+func counter(name string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`pier_oplog_events_total{event="` + name + `"}`)
+}
+
+// takeover is what a new writer finds.
+type takeover struct {
+	page    page
+	version uint64
+	older   []Record // from segments
+}
+
+// takeOver writes a takeover entry, so that no update of a former writer can succeed any more.
+func (l *Log) takeOver(ctx context.Context, n int) (takeover, error) {
+	name := objectName(n)
+	for {
+		found, err := l.Get(ctx, name)
+		if err != nil && !store.Is(err, store.NotFound) {
+			return takeover{}, &Error{Op: "take over", Kind: Unavailable, Err: err}
+		}
+		var p page
+		if found.Version != 0 {
+			if p, err = decodePage(found.Value); err != nil {
+				return takeover{}, &Error{Op: "take over", Kind: Corrupt, Err: err}
+			}
+		}
+		p.Term++
+		p.Writer, p.Token = l.Self, l.token()
+		value, err := p.encode()
+		if err != nil {
+			return takeover{}, &Error{Op: "take over", Kind: Corrupt, Err: err}
+		}
+		version, won, err := l.update(ctx, name, found.Version, p.Token, value)
+		if err != nil {
+			return takeover{}, err
+		}
+		if !won {
+			counter("takeover_lost").Inc()
+			if sleep(ctx, retryPause) != nil {
+				return takeover{}, &Error{Op: "take over", Kind: Unavailable, Err: ctx.Err()}
+			}
+			continue
+		}
+		older, err := l.loadSegments(ctx, p.Segments)
+		return takeover{page: p, version: version, older: older}, err
+	}
+}
+
+func sortByTime(records []Record) {
+	slices.SortFunc(records, func(a, b Record) int { return int(a.At - b.At) })
+}
--- /dev/null
+++ b/internal/peer/error.go
@@ -0,0 +1,32 @@
+package peer
+
+import "github.com/rotisserie/eris"
+
+// Kind classifies a failed call.
+type Kind string
+
+// The kinds of failure.
+const (
+	NotSent  Kind = "not sent"  // no byte reached the peer
+	NoAnswer Kind = "no answer" // the peer may have acted
+	Failed   Kind = "failed"    // the peer says that it did not act
+	Setup    Kind = "setup"
+)
+
+// Error is a failure of one call to a peer.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+func (e *Error) Error() string { return e.Op + ": " + string(e.Kind) + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Is reports whether err is a peer failure of the kind.
+func Is(err error, kind Kind) bool {
+	var e *Error
+	return eris.As(err, &e) && e.Kind == kind
+}
--- /dev/null
+++ b/internal/proof/doc.go
@@ -0,0 +1,3 @@
+// Package proof holds the integration tests: real processes, and faults
+// between them.
+package proof
--- /dev/null
+++ b/internal/proof/main_test.go
@@ -0,0 +1,43 @@
+package proof
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/config"
+	"github.com/corianderpier/corianderpier/internal/stage"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	stage.Cleanup()
+	os.Exit(code)
+}
+
+// siteConfig is the configuration of most tests.
+func siteConfig() config.Config {
+	return config.Config{
+		Services: []config.Service{
+			{Name: "models", Kind: config.Engine, Slots: 64, Long: 50_000, Room: 70, Memory: 400_000},
+			{Name: "desk", Kind: config.Plain, Slots: 64},
+		},
+		Customers: []config.Customer{{Name: "importer", Share: 1}, {Name: "roaster", Share: 1}},
+		Profiles: []config.Profile{
+			{Name: "status", Service: "models", Model: "small", Deadline: 5 * clock.Second, Priority: 5, MaxPrompt: 50_000, MaxOutput: 200, Idempotent: true},
+			{Name: "record", Service: "models", Model: "small", Deadline: clock.Minute, Priority: 1, MaxPrompt: 2_000_000, MaxOutput: 500, Idempotent: true},
+			{Name: "lookup", Service: "desk", Deadline: 5 * clock.Second, Idempotent: true},
+			{Name: "hold", Service: "desk", Deadline: 5 * clock.Second},
+		},
+		Operations: config.Operations{Shards: 8, Writes: 300, Retain: clock.Hour},
+	}
+}
+
+func testContext(t *testing.T, limit time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	t.Cleanup(cancel)
+	return ctx
+}
--- /dev/null
+++ b/internal/proof/path_test.go
@@ -0,0 +1,41 @@
+package proof
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/corianderpier/corianderpier/internal/fake"
+	"github.com/corianderpier/corianderpier/internal/stage"
+	"github.com/corianderpier/corianderpier/pkg/wire"
+)
+
+// A read is answered whole, and a booking sent at once through two instances runs once.
+func TestWholePath(t *testing.T) {
+	is := is.New(t)
+	site := stage.Start(t, stage.Spec{Entries: 3, Engines: 2, Plains: 1, Config: siteConfig()})
+	ctx := testContext(t, 30*time.Second)
+
+	prompt := strings.Repeat("lot 7, washed, citrus; ", 200)
+	answer, err := site.Caller("importer").Complete(ctx, wire.Completion{Profile: "status", Prompt: prompt, MaxTokens: 20})
+	is.NoErr(err)
+	is.Equal(answer.Text, fake.Answer(prompt, 20))
+
+	var group sync.WaitGroup
+	results := make([]wire.Result, 2)
+	errs := make([]error, 2)
+	for i := range results {
+		group.Go(func() {
+			results[i], errs[i] = site.Direct(site.Entries[i], "importer").Call(ctx, wire.Call{Profile: "hold", Body: "20 bags"}, "hold-1")
+		})
+	}
+	group.Wait()
+	for i := range results {
+		is.NoErr(errs[i])
+		is.Equal(results[i].Body, fake.Receipt("hold-1", "20 bags"))
+	}
+	is.Equal(len(site.Runs()), 1)
+}
--- /dev/null
+++ b/internal/route/long.go
@@ -0,0 +1,368 @@
+package route
+
+import (
+	"context"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/config"
+	"github.com/corianderpier/corianderpier/internal/engine"
+	"github.com/corianderpier/corianderpier/internal/loop"
+	"github.com/corianderpier/corianderpier/internal/member"
+	"github.com/corianderpier/corianderpier/internal/roster"
+	"github.com/corianderpier/corianderpier/pkg/wire"
+)
+
+const (
+	cellSize     = 24 // engines that share a home, about
+	backfillTime = 2 * clock.Second
+	ledgerPeriod = 500 * clock.Millis(1)
+	grantGrace   = 2 * clock.Second // after a grant's deadline, or its owner's death, until it lapses
+	maxBacklog   = 2                // grants of unprocessed prompts on one engine
+)
+
+// Ask requests memory for a long prompt at the home of a cell.
+type Ask struct {
+	ID       string       `cbor:"1,keyasint"`
+	Owner    string       `cbor:"2,keyasint"` // instance and incarnation
+	Service  string       `cbor:"3,keyasint"`
+	Cell     int          `cbor:"4,keyasint"`
+	Model    string       `cbor:"5,keyasint"`
+	Customer string       `cbor:"6,keyasint"`
+	Share    int          `cbor:"7,keyasint"`
+	Tokens   int          `cbor:"8,keyasint"` // prompt and output
+	Output   int          `cbor:"9,keyasint"`
+	Deadline clock.Millis `cbor:"10,keyasint"`
+	Exclude  []string     `cbor:"11,keyasint,omitempty"`
+}
+
+// Part is memory on one engine.
+type Part struct {
+	Target string `cbor:"1,keyasint"`
+	Addr   string `cbor:"2,keyasint"`
+	Tokens int    `cbor:"3,keyasint"`
+}
+
+// Grant gives a long prompt memory on one or more engines; the first part's engine runs it.
+type Grant struct {
+	ID     string      `cbor:"1,keyasint"`
+	Parts  []Part      `cbor:"2,keyasint"`
+	Reason wire.Reason `cbor:"3,keyasint,omitempty"` // why there is no grant
+}
+
+// Ledger is the home of the cells whose rank this instance heads. Its state belongs to the control loop.
+type Ledger struct {
+	Loop   *loop.Loop
+	Table  *Table
+	Config func() config.Config
+	View   func() member.View
+	Held   func(ctx context.Context, addr string) ([]engine.Holding, error)
+
+	cells map[string]*cell
+}
+
+type cell struct {
+	service   string
+	index     int
+	queue     *queue
+	asks      map[string]*pending
+	grants    map[string]*granted
+	inherited map[string]int // tokens by engine, held for grants of a former home
+	ready     bool           // the inherited memory is known
+	loading   bool
+}
+
+type pending struct {
+	wait *wait
+	ask  Ask
+	done chan Grant
+}
+
+type granted struct {
+	Grant
+	owner    string
+	deadline clock.Millis
+	orphaned clock.Millis // since when the owner is gone; zero if it is not
+}
+
+// CellOf returns the cell that a request should ask, and the key of its home.
+func CellOf(view member.View, service string, targets int, prefix uint64) (int, []member.Member) {
+	cells := max(1, targets/cellSize)
+	index := int(prefix % uint64(cells))
+	return index, view.Rank(cellKey(service, index))
+}
+
+// Start sets up the state.
+func (l *Ledger) Start() { l.cells = make(map[string]*cell) }
+
+// Run expires grants until the context ends.
+func (l *Ledger) Run(ctx context.Context) error {
+	ticker := time.NewTicker(ledgerPeriod.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			l.Loop.Post(func() { l.tick(ctx) })
+		}
+	}
+}
+
+// Reserve waits until the memory is granted or refused.
+func (l *Ledger) Reserve(ctx context.Context, a Ask) Grant {
+	p := &pending{ask: a, done: make(chan Grant, 1)}
+	p.wait = &wait{
+		Request: Request{ID: a.ID, Customer: a.Customer, Share: a.Share, Tokens: a.Tokens, Deadline: a.Deadline},
+		since:   clock.Now(), due: a.Deadline,
+	}
+	l.Loop.Post(func() { l.ask(ctx, p) })
+	timeout := time.NewTimer((a.Deadline - clock.Now()).Duration())
+	defer timeout.Stop()
+	reason := wire.ReasonDeadline
+	select {
+	case g := <-p.done:
+		return g
+	case <-ctx.Done():
+	case <-timeout.C:
+	}
+	l.Release(a.Service, a.Cell, a.ID)
+	return Grant{ID: a.ID, Reason: reason}
+}
+
+// Release gives granted memory back, or withdraws the request for it.
+func (l *Ledger) Release(service string, index int, id string) {
+	l.Loop.Post(func() {
+		c := l.cells[cellKey(service, index)]
+		if c == nil {
+			return
+		}
+		if p := c.asks[id]; p != nil {
+			p.wait.gone = true
+			delete(c.asks, id)
+		}
+		delete(c.grants, id)
+		l.pump(c)
+	})
+}
+
+func (l *Ledger) ask(ctx context.Context, p *pending) {
+	key := cellKey(p.ask.Service, p.ask.Cell)
+	c := l.cells[key]
+	if c == nil {
+		c = &cell{
+			service: p.ask.Service, index: p.ask.Cell, queue: newQueue(), asks: make(map[string]*pending),
+			grants: make(map[string]*granted), inherited: make(map[string]int),
+		}
+		l.cells[key] = c
+	}
+	if !l.couldFit(c, p.ask) {
+		p.done <- Grant{ID: p.ask.ID, Reason: wire.ReasonNeverFits}
+		return
+	}
+	c.asks[p.ask.ID] = p
+	c.queue.push(p.wait)
+	if !c.ready {
+		l.load(c)
+		return
+	}
+	l.pump(c)
+}
+
+// load learns from the engines what former homes have granted.
+func (l *Ledger) load(c *cell) {
+	if c.loading {
+		return
+	}
+	c.loading = true
+	engines := l.engines(c, "", nil)
+	long := l.service(c).Long
+	go func() {
+		inherited := make(map[string]int)
+		for _, n := range engines {
+			ctx, cancel := context.WithTimeout(context.Background(), clock.Second.Duration())
+			held, _ := l.Held(ctx, n.Addr)
+			cancel()
+			for _, h := range held {
+				if h.Tokens > long || h.Kind == "reservation" {
+					inherited[n.ID] += h.Tokens
+				}
+			}
+		}
+		l.Loop.Post(func() {
+			c.loading = false
+			c.inherited = inherited
+			c.ready = true
+			l.pump(c)
+		})
+	}()
+}
+
+func (l *Ledger) tick(ctx context.Context) {
+	now := clock.Now()
+	view := l.View()
+	for _, c := range l.cells {
+		if len(c.inherited) > 0 && !c.loading {
+			l.load(c)
+		}
+		for id, g := range c.grants {
+			if view.Has(g.owner) {
+				g.orphaned = 0
+			} else if g.orphaned == 0 {
+				g.orphaned = now
+			}
+			if now > g.deadline+grantGrace || (g.orphaned > 0 && now > g.orphaned+grantGrace) {
+				count("grant_lapsed")
+				delete(c.grants, id)
+			}
+		}
+		l.pump(c)
+	}
+}
+
+// pump grants memory in order; smaller requests go ahead of one that waits for memory, but not for long.
+func (l *Ledger) pump(c *cell) {
+	if !c.ready || len(c.inherited) > 0 && c.loading {
+		return
+	}
+	for c.queue.length > 0 {
+		now := clock.Now()
+		blocked := false
+		var parts []Part
+		w := c.queue.next(func(w *wait) bool {
+			p := c.asks[w.ID]
+			if blocked {
+				return false
+			}
+			parts = l.plan(c, p.ask)
+			blocked = parts == nil && now-w.since > backfillTime
+			return parts != nil
+		})
+		if w == nil {
+			return
+		}
+		p := c.asks[w.ID]
+		if w.gone || p == nil {
+			continue
+		}
+		delete(c.asks, w.ID)
+		grant := Grant{ID: w.ID, Parts: parts}
+		c.grants[w.ID] = &granted{Grant: grant, owner: p.ask.Owner, deadline: p.ask.Deadline}
+		p.done <- grant
+	}
+}
+
+// plan places a prompt on the engine with the most room, or on as few engines as it needs; nil means to wait.
+func (l *Ledger) plan(c *cell, a Ask) []Part {
+	service := l.service(c)
+	engines := l.engines(c, a.Model, a.Exclude)
+	room := make(map[string]int, len(engines))
+	running := make(map[string]int, len(engines))
+	for _, g := range c.grants {
+		for _, part := range g.Parts {
+			room[part.Target] -= part.Tokens
+			running[part.Target]++
+		}
+	}
+	for _, n := range engines {
+		room[n.ID] += longRoom(service, n) - c.inherited[n.ID]
+	}
+	now := clock.Now()
+	sort.Slice(engines, func(i, j int) bool {
+		a, b := engines[i], engines[j]
+		if running[a.ID] != running[b.ID] {
+			return running[a.ID] < running[b.ID]
+		}
+		return a.delay(now, 0) < b.delay(now, 0)
+	})
+	for _, n := range engines {
+		if room[n.ID] >= a.Tokens && running[n.ID] < maxBacklog {
+			return []Part{{Target: n.ID, Addr: n.Addr, Tokens: a.Tokens}}
+		}
+	}
+	return spread(engines, room, a, longRoom(service, nil))
+}
+
+// spread places a prompt that is too large for one engine on several, all or nothing.
+func spread(engines []*node, room map[string]int, a Ask, whole int) []Part {
+	if a.Tokens <= whole {
+		return nil // fits one engine once there is room
+	}
+	sort.SliceStable(engines, func(i, j int) bool { return room[engines[i].ID] > room[engines[j].ID] })
+	var parts []Part
+	left := a.Tokens
+	for _, n := range engines {
+		take := min(left, room[n.ID])
+		if take <= a.Output {
+			break // the first engine needs room for the output as well
+		}
+		parts = append(parts, Part{Target: n.ID, Addr: n.Addr, Tokens: take})
+		left -= take
+		if left == 0 {
+			return parts
+		}
+	}
+	return nil
+}
+
+func (l *Ledger) couldFit(c *cell, a Ask) bool {
+	service := l.service(c)
+	total := 0
+	for _, n := range l.engines(c, a.Model, nil) {
+		total += longRoom(service, n)
+	}
+	return a.Tokens <= total
+}
+
+func (l *Ledger) engines(c *cell, model string, exclude []string) []*node {
+	now := clock.Now()
+	excluded := make(map[string]bool, len(exclude))
+	for _, id := range exclude {
+		excluded[id] = true
+	}
+	var all []*node
+	for _, n := range l.Table.nodes {
+		if n.Service == c.service && n.usable(now, Request{Model: model, Exclude: excluded}) {
+			all = append(all, n)
+		}
+	}
+	cells := max(1, len(all)/cellSize)
+	var mine []*node
+	for _, n := range all {
+		if int(xxhash.Sum64String(n.ID)%uint64(cells)) == c.index%cells {
+			mine = append(mine, n)
+		}
+	}
+	return mine
+}
+
+func (l *Ledger) service(c *cell) config.Service {
+	s, _ := l.Config().Service(c.service)
+	return s
+}
+
+// longRoom is how much of an engine's memory long prompts may take together.
+func longRoom(s config.Service, n *node) int {
+	memory := s.Memory
+	if n != nil && n.report.Memory > 0 {
+		memory = n.report.Memory
+	}
+	return memory * s.Room / 100
+}
+
+func cellKey(service string, index int) string { return "cell/" + service + "/" + strconv.Itoa(index) }
+
+// Bind returns a lease on a target that a ledger has chosen, without waiting.
+func (t *Table) Bind(target string, tokens int) (*Lease, bool) {
+	var l *Lease
+	t.Loop.Call(func() {
+		if n := t.nodes[target]; n != nil && !n.leaving && n.State == roster.Live {
+			l = t.lease(n, Request{Tokens: tokens})
+		}
+	})
+	return l, l != nil
+}
--- /dev/null
+++ b/internal/route/node.go
@@ -0,0 +1,97 @@
+package route
+
+import (
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/engine"
+	"github.com/corianderpier/corianderpier/internal/roster"
+)
+
+const (
+	ejectAfter    = 3            // failures in a row
+	ejectTime     = clock.Second // doubled with each further failure
+	maxEjectTime  = 30 * clock.Second
+	slowStartTime = 5 * clock.Second // for which a new target gets a growing share
+	reportDecay   = 2 * clock.Second // after which a report of others' streams no longer counts
+)
+
+// node is what this instance knows of one target.
+type node struct {
+	roster.Target
+	report   engine.Load
+	reported clock.Millis
+	ownThen  int // own requests when the report came
+	backThen int // own unprocessed prompt tokens when the report came
+	own      map[*Lease]bool
+	backlog  int // own unprocessed prompt tokens
+	leaving  bool
+	failures int
+	ejected  clock.Millis // until
+	since    clock.Millis // of its appearance
+	fresh    bool         // appeared after this instance started
+	busy     bool         // a request of the FIFO baseline has no first token yet
+}
+
+func (n *node) usable(now clock.Millis, r Request) bool {
+	if r.only != "" && r.only != n.ID {
+		return false
+	}
+	return !n.leaving && n.State == roster.Live && now >= n.ejected && !r.Exclude[n.ID] && n.serves(r.Model)
+}
+
+func (n *node) serves(model string) bool {
+	if model == "" || len(n.Models) == 0 {
+		return true
+	}
+	for _, m := range n.Models {
+		if m == model {
+			return true
+		}
+	}
+	return false
+}
+
+// requests estimates how many requests the target has: own ones and, from the report, those of other instances.
+func (n *node) requests(now clock.Millis) int {
+	others := max(0, n.report.Running+n.report.Waiting-n.ownThen)
+	age := now - n.reported
+	if age >= reportDecay {
+		others = 0
+	}
+	return len(n.own) + others
+}
+
+// delay estimates how long a prompt waits for the prompts before it and its own processing.
+func (n *node) delay(now clock.Millis, tokens int) clock.Millis {
+	rate := max(n.report.Prefill, defaultPrefill)
+	done := int(now-n.reported) * rate / 1000
+	others := max(0, n.report.Backlog-n.backThen-done)
+	return clock.Millis((n.backlog + others + tokens) * 1000 / rate)
+}
+
+// room estimates the free memory in tokens.
+func (n *node) room(memory int) int {
+	if n.report.Memory > 0 {
+		memory = n.report.Memory
+	}
+	used := max(0, n.report.Used)
+	return memory - used
+}
+
+func (n *node) failed(now clock.Millis) {
+	n.failures++
+	if n.failures < ejectAfter {
+		return
+	}
+	count("target_ejected")
+	pause := ejectTime << min(n.failures-ejectAfter, 10)
+	n.ejected = now + min(pause, maxEjectTime)
+}
+
+// slots is how many requests the target takes from all instances, less at its start.
+func (n *node) slots(now clock.Millis, slots int) int {
+	age := now - n.since
+	if !n.fresh || age >= slowStartTime {
+		return slots
+	}
+	return max(1, int(clock.Millis(slots)*age/slowStartTime))
+}
--- /dev/null
+++ b/internal/route/policy.go
@@ -0,0 +1,126 @@
+package route
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/config"
+)
+
+const (
+	choices    = 2                    // random targets compared for each request
+	freeShare  = 90                   // percent of a target's slots given out by estimate beyond the own share
+	affineLead = 50 * clock.Millis(1) // by which the target with a likely cached prefix may be later
+)
+
+// Policy is a way to choose targets.
+type Policy struct {
+	Name       string
+	Admit      bool // refuses what cannot finish in time
+	Priorities bool // passes priorities to the engines
+	Reserve    bool // long prompts reserve memory first
+	Bind       bool // binds a request to a target when it arrives
+	Pick       func(t *Table, now clock.Millis, s config.Service, r Request, candidates []*node) *node
+}
+
+// Policies returns the policies by name: the one of the product and the baselines.
+func Policies() []Policy {
+	return []Policy{
+		{Name: "balanced", Admit: true, Priorities: true, Reserve: true, Pick: pickBalanced},
+		{Name: "roundrobin", Pick: pickRoundRobin},
+		{Name: "least", Pick: pickLeast},
+		{Name: "fifo", Bind: true, Pick: pickFIFO},
+	}
+}
+
+// PolicyNamed finds a policy.
+func PolicyNamed(name string) (Policy, bool) {
+	all := Policies()
+	i := slices.IndexFunc(all, func(p Policy) bool { return p.Name == name })
+	if i < 0 {
+		return Policy{}, false
+	}
+	return all[i], true
+}
+
+// pickBalanced compares two random targets with free slots, and the one that likely has the prefix cached.
+func pickBalanced(t *Table, now clock.Millis, s config.Service, r Request, candidates []*node) *node {
+	free := slices.DeleteFunc(slices.Clone(candidates), func(n *node) bool { return !t.hasSlot(now, s, n, r) })
+	if len(free) == 0 {
+		return nil
+	}
+	affine := affineOf(candidates, r.Prefix)
+	rand.Shuffle(len(free), func(i, j int) { free[i], free[j] = free[j], free[i] })
+	best := free[0]
+	for _, n := range free[1:min(choices, len(free))] {
+		if n.delay(now, 0) < best.delay(now, 0) || (n.delay(now, 0) == best.delay(now, 0) && n.requests(now) < best.requests(now)) {
+			best = n
+		}
+	}
+	if affine != nil && affine.delay(now, 0) <= best.delay(now, 0)+affineLead && t.hasSlot(now, s, affine, r) {
+		return affine
+	}
+	return best
+}
+
+// hasSlot reports whether a target takes one more request of this instance: within its even share always, beyond it by estimate.
+func (t *Table) hasSlot(now clock.Millis, s config.Service, n *node, r Request) bool {
+	slots := n.slots(now, s.Slots)
+	users := max(1, len(t.View().Live()))
+	if s.Kind == config.Engine && n.room(s.Memory) < r.Tokens+r.Output && len(n.own) > 0 {
+		return false
+	}
+	if len(n.own) < slots/users {
+		return true
+	}
+	return n.requests(now) < slots*freeShare/100 && len(n.own) < slots
+}
+
+// affineOf returns the target that requests with the same prefix share.
+func affineOf(candidates []*node, prefix uint64) *node {
+	if prefix == 0 {
+		return nil
+	}
+	var best *node
+	var most uint64
+	for _, n := range candidates {
+		score := xxhash.Sum64String(n.ID) ^ prefix
+		score *= 0x9e3779b97f4a7c15
+		score ^= score >> 32
+		if best == nil || score > most {
+			best, most = n, score
+		}
+	}
+	return best
+}
+
+func pickRoundRobin(t *Table, _ clock.Millis, s config.Service, _ Request, candidates []*node) *node {
+	sortByID(candidates)
+	t.order[s.Name]++
+	return candidates[t.order[s.Name]%len(candidates)]
+}
+
+func pickLeast(_ *Table, now clock.Millis, _ config.Service, _ Request, candidates []*node) *node {
+	sortByID(candidates)
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	return slices.MinFunc(candidates, func(a, b *node) int { return a.requests(now) - b.requests(now) })
+}
+
+// pickFIFO has the target that a request is bound to process one prompt of this instance at a time.
+func pickFIFO(_ *Table, _ clock.Millis, _ config.Service, _ Request, candidates []*node) *node {
+	n := candidates[0]
+	if n.busy {
+		return nil
+	}
+	n.busy = true
+	return n
+}
+
+func sortByID(candidates []*node) {
+	sort.Slice(candidates, func(i, j int) bool { return strings.Compare(candidates[i].ID, candidates[j].ID) < 0 })
+}
--- /dev/null
+++ b/internal/route/table.go
@@ -0,0 +1,398 @@
+package route
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/config"
+	"github.com/corianderpier/corianderpier/internal/engine"
+	"github.com/corianderpier/corianderpier/internal/loop"
+	"github.com/corianderpier/corianderpier/internal/member"
+	"github.com/corianderpier/corianderpier/internal/roster"
+	"github.com/corianderpier/corianderpier/pkg/wire"
+)
+
+const (
+	defaultPrefill = 50_000 // prompt tokens a second, until an engine reports
+	aperture       = 16     // targets of a service that an instance uses when there are many instances
+	minUsers       = 8      // instances that use each target at least
+	pumpPeriod     = 20 * clock.Millis(1)
+	reportPeriod   = 150 * clock.Millis(1) // between load reports read; one target each
+	staleReport    = clock.Second          // a younger report is not read again
+	tokenTime      = 25 * clock.Millis(1)  // between generated tokens, for predictions
+)
+
+// Request is what routing needs to know of a request.
+type Request struct {
+	ID       string
+	Service  string
+	Model    string
+	Customer string
+	Share    int // weight of the customer
+	Tokens   int // of the prompt
+	Output   int // most tokens to generate
+	Priority int
+	Deadline clock.Millis
+	Prefix   uint64          // hash of the first part of the prompt; zero for none
+	Exclude  map[string]bool // targets not to be used
+
+	only string // the target that the request is bound to, if any
+}
+
+// Lease is a slot on a target; it is ended exactly once.
+type Lease struct {
+	Target roster.Target
+	table  *Table
+	node   *node
+	tokens int
+	first  bool
+	ended  bool
+}
+
+// Table holds what this instance knows of the targets, and the waiting requests. Its state belongs to the control loop.
+type Table struct {
+	Loop   *loop.Loop
+	Policy Policy
+	Self   string
+	Config func() config.Config
+	View   func() member.View
+	Report func(ctx context.Context, addr string) (engine.Load, error)
+	OnGone func(target string) // a target said that it takes no new work
+
+	nodes   map[string]*node
+	queues  map[string]*queue
+	order   map[string]int // for policies that go round
+	marks   map[string]bool
+	started clock.Millis
+}
+
+// Start sets up the state.
+func (t *Table) Start() {
+	t.nodes = make(map[string]*node)
+	t.queues = make(map[string]*queue)
+	t.order = make(map[string]int)
+	t.marks = make(map[string]bool)
+	t.started = clock.Now()
+}
+
+// Run reads load reports and starts waiting requests until the context ends.
+func (t *Table) Run(ctx context.Context) error {
+	pump := time.NewTicker(pumpPeriod.Duration())
+	defer pump.Stop()
+	report := time.NewTicker(reportPeriod.Duration())
+	defer report.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-pump.C:
+			t.Loop.Post(t.pump)
+		case <-report.C:
+			t.Loop.Post(func() { t.readReport(ctx) })
+		}
+	}
+}
+
+// Acquire waits for a slot on a target that suits the request, or says why there is none.
+func (t *Table) Acquire(ctx context.Context, r Request) (*Lease, error) {
+	w := t.wait(r)
+	if !t.Loop.Post(func() { t.enqueue(w) }) {
+		return nil, &Error{Op: "acquire", Kind: wire.ReasonDraining}
+	}
+	timeout := time.NewTimer((r.Deadline - clock.Now()).Duration())
+	defer timeout.Stop()
+	var reason wire.Reason
+	select {
+	case g := <-w.granted:
+		return g.lease, g.err
+	case <-ctx.Done():
+		reason = wire.ReasonDeadline
+	case <-timeout.C:
+		reason = wire.ReasonDeadline
+	}
+	t.Loop.Call(func() { w.gone = true })
+	select {
+	case g := <-w.granted: // granted in the meantime
+		return g.lease, g.err
+	default:
+		return nil, &Error{Op: "acquire", Kind: reason}
+	}
+}
+
+// wait puts a request into the order of its policy: plain baselines know neither customers nor priorities.
+func (t *Table) wait(r Request) *wait {
+	now := clock.Now()
+	w := &wait{Request: r, since: now, due: r.Deadline, granted: make(chan grant, 1)}
+	if !t.Policy.Priorities {
+		w.Customer, w.Priority, w.due = "", 0, now
+	}
+	return w
+}
+
+// Seen takes in a load report that came with an answer.
+func (l *Lease) Seen(load engine.Load) {
+	l.table.Loop.Post(func() { l.table.learn(l.node, load) })
+}
+
+// First tells that the target has processed the prompt.
+func (l *Lease) First() {
+	l.table.Loop.Post(func() {
+		l.settlePrompt()
+		l.table.pump()
+	})
+}
+
+// End gives the slot back and tells whether the target did its work.
+func (l *Lease) End(ok, leaving bool) {
+	l.table.Loop.Post(func() {
+		if l.ended {
+			return
+		}
+		l.ended = true
+		l.settlePrompt()
+		delete(l.node.own, l)
+		now := clock.Now()
+		switch {
+		case leaving:
+			l.table.gone(l.node)
+		case ok:
+			l.node.failures = 0
+		default:
+			l.node.failed(now)
+		}
+		l.table.pump()
+	})
+}
+
+func (l *Lease) settlePrompt() {
+	if l.first {
+		return
+	}
+	l.first = true
+	l.node.backlog -= l.tokens
+	l.node.busy = false
+}
+
+// Replace takes a new instance list into use.
+func (t *Table) Replace(r roster.Roster) {
+	t.Loop.Post(func() {
+		now := clock.Now()
+		listed := make(map[string]bool, len(r.Targets))
+		for _, target := range r.Targets {
+			listed[target.ID] = true
+			n := t.nodes[target.ID]
+			if n == nil {
+				n = &node{own: make(map[*Lease]bool), since: now, fresh: now-t.started > slowStartTime, leaving: t.marks[target.ID]}
+				t.nodes[target.ID] = n
+			}
+			n.Target = target
+			if target.State == roster.Leaving {
+				t.gone(n)
+			}
+		}
+		for id, n := range t.nodes {
+			if !listed[id] {
+				n.leaving = true
+				if len(n.own) == 0 {
+					delete(t.nodes, id)
+				}
+			}
+		}
+		t.pump()
+	})
+}
+
+// Mark notes that a target takes no new work, whatever the list says; it runs on the control loop.
+func (t *Table) Mark(target string) {
+	t.marks[target] = true
+	if n := t.nodes[target]; n != nil {
+		n.leaving = true
+	}
+}
+
+// Targets returns the usable targets of a service.
+func (t *Table) Targets(service string) []roster.Target {
+	var found []roster.Target
+	t.Loop.Call(func() {
+		for _, n := range t.nodes {
+			if n.Service == service && !n.leaving {
+				found = append(found, n.Target)
+			}
+		}
+	})
+	return found
+}
+
+func (t *Table) gone(n *node) {
+	if n.leaving {
+		return
+	}
+	n.leaving = true
+	if t.OnGone != nil {
+		t.OnGone(n.ID)
+	}
+}
+
+func (t *Table) enqueue(w *wait) {
+	service, ok := t.Config().Service(w.Service)
+	if !ok || len(t.candidates(service, w.Request)) == 0 {
+		w.granted <- grant{err: &Error{Op: "acquire", Kind: wire.ReasonNoTarget}}
+		return
+	}
+	now := clock.Now()
+	q := t.queueFor(now, service, w)
+	if t.Policy.Admit && now+q.delay(now)+runTime(w.Request) > w.Deadline {
+		count("shed_at_arrival")
+		w.granted <- grant{err: &Error{Op: "acquire", Kind: wire.ReasonOverload}}
+		return
+	}
+	q.push(w)
+	t.pump()
+}
+
+// queueFor returns the queue of the service, or the one of a target if the policy binds requests at arrival.
+func (t *Table) queueFor(now clock.Millis, service config.Service, w *wait) *queue {
+	name := w.Service
+	if t.Policy.Bind {
+		w.only = pickRoundRobin(t, now, service, w.Request, t.candidates(service, w.Request)).ID
+		name += "@" + w.only
+	}
+	q := t.queues[name]
+	if q == nil {
+		q = newQueue()
+		q.service = w.Service
+		t.queues[name] = q
+	}
+	return q
+}
+
+// pump starts waiting requests while there are free slots.
+func (t *Table) pump() {
+	for _, q := range t.queues {
+		if q.length == 0 {
+			continue
+		}
+		service, ok := t.Config().Service(q.service)
+		if !ok {
+			continue
+		}
+		t.pumpQueue(q, service)
+	}
+}
+
+func (t *Table) pumpQueue(q *queue, service config.Service) {
+	for q.length > 0 {
+		now := clock.Now()
+		var chosen *node
+		var reason wire.Reason
+		w := q.next(func(w *wait) bool {
+			chosen, reason = t.choose(now, service, w.Request)
+			return chosen != nil || reason != ""
+		})
+		if w == nil {
+			return
+		}
+		if w.gone {
+			continue
+		}
+		if chosen == nil {
+			w.granted <- grant{err: &Error{Op: "acquire", Kind: reason}}
+			continue
+		}
+		q.progress(now)
+		metrics.GetOrCreateHistogram("pier_queue_seconds").Update(float64(now-w.since) / 1000)
+		w.granted <- grant{lease: t.lease(chosen, w.Request)}
+	}
+}
+
+// choose finds a target for a request, or a reason why there will be none in time; neither means to wait.
+func (t *Table) choose(now clock.Millis, service config.Service, r Request) (*node, wire.Reason) {
+	candidates := t.candidates(service, r)
+	if len(candidates) == 0 {
+		return nil, wire.ReasonNoTarget
+	}
+	if t.Policy.Admit && now+runTime(r) > r.Deadline {
+		count("shed_in_queue")
+		return nil, wire.ReasonOverload
+	}
+	return t.Policy.Pick(t, now, service, r, candidates), ""
+}
+
+func (t *Table) lease(n *node, r Request) *Lease {
+	l := &Lease{Target: n.Target, table: t, node: n, tokens: r.Tokens}
+	n.own[l] = true
+	n.backlog += r.Tokens
+	return l
+}
+
+// candidates are the targets of this instance's subset that can run the request, or all that can if the subset has none.
+func (t *Table) candidates(service config.Service, r Request) []*node {
+	now := clock.Now()
+	var usable, subset []*node
+	view := t.View()
+	for _, n := range t.nodes {
+		if n.Service != service.Name || !n.usable(now, r) {
+			continue
+		}
+		usable = append(usable, n)
+	}
+	if len(usable) <= aperture {
+		return usable
+	}
+	users := max(minUsers, len(view.Members)*aperture/len(usable))
+	for _, n := range usable {
+		if view.Home(t.Self, "target/"+n.ID, users) {
+			subset = append(subset, n)
+		}
+	}
+	if len(subset) == 0 {
+		return usable
+	}
+	return subset
+}
+
+func (t *Table) learn(n *node, load engine.Load) {
+	n.report, n.reported = load, clock.Now()
+	n.ownThen, n.backThen = len(n.own), n.backlog
+	if load.Leaving {
+		t.gone(n)
+	}
+}
+
+// readReport reads the oldest load report that is not fresh.
+func (t *Table) readReport(ctx context.Context) {
+	if t.Report == nil {
+		return
+	}
+	now := clock.Now()
+	var oldest *node
+	for _, n := range t.nodes {
+		if !n.leaving && now-n.reported > staleReport && (oldest == nil || n.reported < oldest.reported) {
+			oldest = n
+		}
+	}
+	if oldest == nil {
+		return
+	}
+	oldest.reported = now // not to be asked twice
+	addr := oldest.Addr
+	go func() {
+		load, err := t.Report(ctx, addr)
+		if err != nil {
+			return
+		}
+		t.Loop.Post(func() { t.learn(oldest, load) })
+	}()
+}
+
+// runTime predicts how long a request takes once it has started, on an idle engine.
+func runTime(r Request) clock.Millis {
+	return clock.Millis(r.Tokens*1000/(2*defaultPrefill)) + clock.Millis(r.Output)*tokenTime
+}
+
+func count(event string) {
+	metrics.GetOrCreateCounter(`pier_route_events_total{event="` + event + `"}`).Inc()
+}
--- /dev/null
+++ b/internal/stage/doc.go
@@ -0,0 +1,3 @@
+// Package stage starts a whole site as real processes for tests and
+// measurements. The product does not use it.
+package stage
--- /dev/null
+++ b/internal/stage/stage.go
@@ -0,0 +1,514 @@
+package stage
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/corianderpier/corianderpier/internal/config"
+	"github.com/corianderpier/corianderpier/internal/engine"
+	"github.com/corianderpier/corianderpier/internal/entry"
+	"github.com/corianderpier/corianderpier/internal/fake"
+	"github.com/corianderpier/corianderpier/internal/roster"
+	"github.com/corianderpier/corianderpier/internal/store"
+	"github.com/corianderpier/corianderpier/pkg/pier"
+)
+
+// Key is the cluster key of every staged site.
+const Key = "00112233445566778899aabbccddeeff"
+
+const startLimit = 20 * time.Second
+
+// Spec describes a site.
+type Spec struct {
+	Entries    int
+	Zones      []string // of the entry instances, in turn
+	Engines    int
+	Plains     int
+	EngineArgs []string
+	EntryArgs  []string
+	Config     config.Config
+	StoreFor   func(i int, addr string) string // address of the object API for an entry instance; nil for the real one
+	TargetFor  func(id, addr string) string    // address listed for a target; nil for the real one
+}
+
+// Site is a running site.
+type Site struct {
+	Spec    Spec
+	Store   string // address of the object API
+	Targets []roster.Target
+	Entries []*Process
+
+	t     testing.TB
+	bin   string
+	addrs map[string]string // own addresses of the targets
+}
+
+// Process is one running program.
+type Process struct {
+	Name  string
+	Addr  string // for callers
+	Peer  string
+	Admin string
+
+	cmd  *exec.Cmd
+	log  *logBuffer
+	done chan struct{}
+	err  error
+}
+
+var (
+	buildOnce sync.Once
+	buildDir  string
+	buildErr  error
+)
+
+// Build compiles the programs once and returns the folder that holds them.
+func Build(t testing.TB) string {
+	t.Helper()
+	buildOnce.Do(func() {
+		buildDir, buildErr = os.MkdirTemp("", "pier-bin-")
+		if buildErr != nil {
+			return
+		}
+		cmd := exec.Command("go", "build", "-o", buildDir+"/", "./cmd/...")
+		cmd.Dir = root()
+		if out, err := cmd.CombinedOutput(); err != nil {
+			buildErr = fmt.Errorf("build: %w: %s", err, out)
+		}
+	})
+	if buildErr != nil {
+		t.Fatal(buildErr)
+	}
+	return buildDir
+}
+
+// Cleanup removes the compiled programs; a test package calls it from TestMain.
+func Cleanup() {
+	if buildDir != "" {
+		_ = os.RemoveAll(buildDir)
+	}
+}
+
+// root is the folder of go.mod.
+func root() string {
+	dir, err := os.Getwd()
+	for err == nil && dir != "/" {
+		if _, statErr := os.Stat(filepath.Join(dir, "go.mod")); statErr == nil {
+			return dir
+		}
+		dir = filepath.Dir(dir)
+	}
+	return "."
+}
+
+// Start runs a site and waits until every entry instance serves.
+func Start(t testing.TB, spec Spec) *Site {
+	t.Helper()
+	s := &Site{Spec: spec, t: t, bin: Build(t), addrs: make(map[string]string)}
+	s.Store = s.run("store", "pierfake", "store").firstLine(t)
+	s.addTargets(spec.Engines, engineService(spec.Config), "engine", spec.EngineArgs)
+	s.addTargets(spec.Plains, plainService(spec.Config), "plain", nil)
+	s.PutConfig(spec.Config)
+	s.PutTargets(s.Targets)
+	for range spec.Entries {
+		s.AddEntry(spec.EntryArgs...)
+	}
+	s.WaitReady(startLimit)
+	return s
+}
+
+// AddEntry starts one more entry instance.
+func (s *Site) AddEntry(args ...string) *Process {
+	s.t.Helper()
+	i := len(s.Entries)
+	p := s.StartEntry(fmt.Sprintf("entry-%d", i), i, args...)
+	s.Entries = append(s.Entries, p)
+	return p
+}
+
+// StartEntry starts an entry instance under a name.
+func (s *Site) StartEntry(name string, i int, args ...string) *Process {
+	s.t.Helper()
+	storeAddr := s.Store
+	if s.Spec.StoreFor != nil {
+		storeAddr = s.Spec.StoreFor(i, s.Store)
+	}
+	zone := "zone-a"
+	if len(s.Spec.Zones) > 0 {
+		zone = s.Spec.Zones[i%len(s.Spec.Zones)]
+	}
+	all := append([]string{
+		"-name", name, "-zone", zone, "-listen", "127.0.0.1:0", "-peer", "127.0.0.1:0", "-admin", "127.0.0.1:0",
+		"-store", "http://" + storeAddr, "-instances", "http://" + storeAddr, "-key", Key,
+	}, args...)
+	p := s.run(name, "corianderpier", all...)
+	started := p.waitLog(s.t, `"msg":"instance started"`)
+	var line struct{ Listen, Peer, Admin string }
+	if err := json.Unmarshal([]byte(started), &line); err != nil {
+		s.t.Fatal(err)
+	}
+	p.Addr, p.Peer, p.Admin = line.Listen, line.Peer, line.Admin
+	return p
+}
+
+// PutConfig writes the configuration into the object API, whatever version is there, and returns the new version.
+func (s *Site) PutConfig(c config.Config) uint64 {
+	data, err := c.Encode()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return s.put(config.ObjectName, data)
+}
+
+// PutTargets writes the instance list.
+func (s *Site) PutTargets(targets []roster.Target) uint64 {
+	data, err := roster.Roster{Targets: targets}.Encode()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return s.put(roster.ObjectName, data)
+}
+
+func (s *Site) put(name string, data []byte) uint64 {
+	s.t.Helper()
+	client := s.Client()
+	ctx := context.Background()
+	old, err := client.Get(ctx, name)
+	if err != nil && !store.Is(err, store.NotFound) {
+		s.t.Fatal(err)
+	}
+	version, err := client.Put(ctx, name, old.Version, data)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return version
+}
+
+// Client returns a client of the object API that no fault touches.
+func (s *Site) Client() *store.Client { return &store.Client{Base: "http://" + s.Store} }
+
+// Caller returns a client for a customer.
+func (s *Site) Caller(customer string) *pier.Client {
+	c := &pier.Client{Customer: customer}
+	for _, e := range s.Entries {
+		c.Seeds = append(c.Seeds, e.Addr)
+	}
+	return c
+}
+
+// Direct returns a client that uses one entry instance only, however the instance answers the address question.
+func (s *Site) Direct(e *Process, customer string) *pier.Client {
+	return &pier.Client{Seeds: []string{e.Addr}, Customer: customer, Fixed: true}
+}
+
+// WaitReady waits until every running entry instance is ready and knows the others.
+func (s *Site) WaitReady(limit time.Duration) {
+	s.t.Helper()
+	running := s.running()
+	Eventually(s.t, limit, "all entry instances ready", func() bool {
+		for _, e := range running {
+			status, err := e.Status()
+			if err != nil || !status.Ready || live(status) != len(running) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (s *Site) running() []*Process {
+	var running []*Process
+	for _, e := range s.Entries {
+		if !e.Ended() {
+			running = append(running, e)
+		}
+	}
+	return running
+}
+
+func live(status entry.Status) int {
+	n := 0
+	for _, m := range status.Members {
+		if m.State == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Runs returns the actions that all plain services took.
+func (s *Site) Runs() []fake.Run {
+	s.t.Helper()
+	var all []fake.Run
+	for _, t := range s.Targets {
+		if !strings.HasPrefix(t.ID, "plain") {
+			continue
+		}
+		var runs []fake.Run
+		s.get("http://"+s.Real(t)+"/admin/runs", &runs)
+		all = append(all, runs...)
+	}
+	return all
+}
+
+// Held returns the memory that all engines keep for owners.
+func (s *Site) Held() []engine.Holding {
+	s.t.Helper()
+	var all []engine.Holding
+	for _, t := range s.Targets {
+		if !strings.HasPrefix(t.ID, "engine") {
+			continue
+		}
+		var held []engine.Holding
+		s.get("http://"+s.Real(t)+engine.PathHeld, &held)
+		all = append(all, held...)
+	}
+	return all
+}
+
+// Fault sets what goes wrong at a stand-in.
+func (s *Site) Fault(addr string, fault any) {
+	s.t.Helper()
+	data, err := json.Marshal(fault)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	resp, err := http.Post("http://"+addr+"/admin/fault", "application/json", bytes.NewReader(data))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+}
+
+// Real returns the own address of a target, past any proxy.
+func (s *Site) Real(t roster.Target) string { return s.addrs[t.ID] }
+
+func (s *Site) get(url string, into any) {
+	s.t.Helper()
+	resp, err := http.Get(url)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *Site) addTargets(n int, service, kind string, args []string) {
+	s.t.Helper()
+	if n == 0 {
+		return
+	}
+	listen := strings.TrimSuffix(strings.Repeat("127.0.0.1:0,", n), ",")
+	all := append([]string{kind, "-listen", listen}, args...)
+	addrs := strings.Split(s.run(kind, "pierfake", all...).firstLine(s.t), ",")
+	for i, addr := range addrs {
+		id := fmt.Sprintf("%s-%d", kind, i)
+		listed := addr
+		if s.Spec.TargetFor != nil {
+			listed = s.Spec.TargetFor(id, addr)
+		}
+		zone := "zone-a"
+		if len(s.Spec.Zones) > 0 {
+			zone = s.Spec.Zones[i%len(s.Spec.Zones)]
+		}
+		s.addrs[id] = addr
+		models := modelsOf(s.Spec.Config, service)
+		s.Targets = append(s.Targets, roster.Target{ID: id, Service: service, Addr: listed, Zone: zone, State: roster.Live, Models: models})
+	}
+}
+
+func (s *Site) run(name, program string, args ...string) *Process {
+	s.t.Helper()
+	p := &Process{Name: name, log: &logBuffer{}, done: make(chan struct{})}
+	p.cmd = exec.Command(filepath.Join(s.bin, program), args...)
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	if err := p.cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	s.t.Cleanup(func() {
+		p.Kill()
+		if s.t.Failed() && os.Getenv("PIER_TEST_LOGS") != "" {
+			_ = os.WriteFile(filepath.Join(os.Getenv("PIER_TEST_LOGS"), name+".log"), []byte(p.log.String()), 0o600)
+		}
+	})
+	return p
+}
+
+// Status asks an entry instance about itself.
+func (p *Process) Status() (entry.Status, error) {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + p.Admin + "/status")
+	if err != nil {
+		return entry.Status{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var status entry.Status
+	return status, json.NewDecoder(resp.Body).Decode(&status)
+}
+
+// Metric returns the sum of all series whose names begin with the prefix.
+func (p *Process) Metric(prefix string) float64 {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + p.Admin + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	total := 0.0
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if !strings.HasPrefix(lines.Text(), prefix) {
+			continue
+		}
+		fields := strings.Fields(lines.Text())
+		var value float64
+		if _, err := fmt.Sscan(fields[len(fields)-1], &value); err == nil {
+			total += value
+		}
+	}
+	return total
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Freeze stops the process without ending it.
+func (p *Process) Freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Resume lets a frozen process go on.
+func (p *Process) Resume() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Drain begins a planned stop.
+func (p *Process) Drain() { _ = p.cmd.Process.Signal(syscall.SIGTERM) }
+
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Wait returns how the process ended, or an error after the limit.
+func (p *Process) Wait(limit time.Duration) error {
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(limit):
+		return context.DeadlineExceeded
+	}
+}
+
+// Pid returns the process id.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
+// Log returns what the process has printed.
+func (p *Process) Log() string { return p.log.String() }
+
+func (p *Process) firstLine(t testing.TB) string {
+	t.Helper()
+	return strings.TrimSpace(p.waitLog(t, ""))
+}
+
+// waitLog returns the first complete line that contains the text.
+func (p *Process) waitLog(t testing.TB, text string) string {
+	t.Helper()
+	var found string
+	Eventually(t, startLimit, p.Name+" has started", func() bool {
+		lines := strings.SplitAfter(p.log.String(), "\n")
+		for _, line := range lines {
+			if strings.HasSuffix(line, "\n") && strings.Contains(line, text) {
+				found = line
+				return true
+			}
+		}
+		if p.Ended() {
+			t.Fatalf("%s ended: %s", p.Name, p.log.String())
+		}
+		return false
+	})
+	return found
+}
+
+// Eventually fails the test unless the condition holds within the limit.
+func Eventually(t testing.TB, limit time.Duration, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func engineService(c config.Config) string { return firstService(c, config.Engine) }
+
+func plainService(c config.Config) string { return firstService(c, config.Plain) }
+
+func firstService(c config.Config, kind config.ServiceKind) string {
+	for _, s := range c.Services {
+		if s.Kind == kind {
+			return s.Name
+		}
+	}
+	return ""
+}
+
+func modelsOf(c config.Config, service string) []string {
+	seen := make(map[string]bool)
+	var models []string
+	for _, p := range c.Profiles {
+		if p.Service == service && p.Model != "" && !seen[p.Model] {
+			seen[p.Model] = true
+			models = append(models, p.Model)
+		}
+	}
+	return models
+}
+
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write appends to the log.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// String returns all of the log.
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+var _ io.Writer = (*logBuffer)(nil)
--- /dev/null
+++ b/internal/sweep/sweep.go
@@ -0,0 +1,179 @@
+package sweep
+
+import (
+	"context"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/engine"
+	"github.com/corianderpier/corianderpier/internal/member"
+	"github.com/corianderpier/corianderpier/internal/roster"
+)
+
+const (
+	sweepPeriod   = 2 * clock.Second
+	releasePeriod = 300 * clock.Millis(1)
+	releaseLimit  = 5 * clock.Minute // for which a release is repeated
+	settleTime    = 5 * clock.Second // after the start, before the view is trusted
+)
+
+// Grace is how long an owner must have been gone before its memory is reclaimed.
+const Grace = 4 * clock.Second
+
+// Expiry is how much older than the longest deadline a holding may become, whoever owns it.
+const Expiry = 10 * clock.Second
+
+// Sweeper releases memory that is no longer needed.
+type Sweeper struct {
+	Self     string
+	View     func() member.View
+	Targets  func() []roster.Target // engines
+	Longest  func() clock.Millis    // longest deadline of any profile
+	Held     func(ctx context.Context, addr string) ([]engine.Holding, error)
+	Release  func(ctx context.Context, addr, id string) error
+	Attached func(ctx context.Context, addr, attempt string) bool // whether a stream is being read
+
+	mu      sync.Mutex
+	pending map[release]clock.Millis // when each release was asked for
+	absent  map[string]clock.Millis  // since when each owner has been missing
+	started clock.Millis
+}
+
+type release struct{ addr, id string }
+
+// Start sets up the state.
+func (s *Sweeper) Start() {
+	s.pending = make(map[release]clock.Millis)
+	s.absent = make(map[string]clock.Millis)
+	s.started = clock.Now()
+}
+
+// Free releases a stream or reservation of this instance, again and again until the engine confirms.
+func (s *Sweeper) Free(addr, id string) {
+	s.mu.Lock()
+	s.pending[release{addr, id}] = clock.Now()
+	s.mu.Unlock()
+	go s.try(context.Background(), release{addr, id})
+}
+
+// Pending returns how many releases are not confirmed yet.
+func (s *Sweeper) Pending() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.pending)
+}
+
+// Run repeats releases and compares holdings until the context ends.
+func (s *Sweeper) Run(ctx context.Context) error {
+	releasing := time.NewTicker(releasePeriod.Duration())
+	defer releasing.Stop()
+	sweeping := time.NewTicker(sweepPeriod.Duration())
+	defer sweeping.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-releasing.C:
+			s.retry(ctx)
+		case <-sweeping.C:
+			go s.sweep(ctx)
+		}
+	}
+}
+
+func (s *Sweeper) retry(ctx context.Context) {
+	s.mu.Lock()
+	var due []release
+	for r, since := range s.pending {
+		age := clock.Now() - since
+		if age > releaseLimit {
+			delete(s.pending, r)
+		} else if age > releasePeriod {
+			due = append(due, r)
+		}
+	}
+	s.mu.Unlock()
+	for _, r := range due {
+		go s.try(ctx, r)
+	}
+}
+
+func (s *Sweeper) try(ctx context.Context, r release) {
+	if err := s.Release(ctx, r.addr, r.id); err != nil {
+		count("release_failed")
+		return
+	}
+	s.mu.Lock()
+	delete(s.pending, r)
+	s.mu.Unlock()
+}
+
+// sweep looks at the engines whose home this instance is.
+func (s *Sweeper) sweep(ctx context.Context) {
+	if clock.Now()-s.started < settleTime {
+		return
+	}
+	view := s.View()
+	for _, t := range s.Targets() {
+		if !view.Home(s.Self, "sweep/"+t.ID, 1) {
+			continue
+		}
+		held, err := s.Held(ctx, t.Addr)
+		if err != nil {
+			continue
+		}
+		for _, h := range held {
+			if why := s.reclaimable(ctx, view, h); why != "" {
+				slog.Warn("memory reclaimed", "target", t.ID, "holding", h.ID, "owner", h.Owner, "tokens", h.Tokens, "why", why)
+				count("reclaimed_" + why)
+				_ = s.Release(ctx, t.Addr, h.ID)
+			}
+		}
+	}
+}
+
+// reclaimable says why a holding has no owner, or returns "".
+func (s *Sweeper) reclaimable(ctx context.Context, view member.View, h engine.Holding) string {
+	if clock.Millis(h.Age) > s.Longest()+Expiry {
+		return "expired"
+	}
+	if !s.gone(view, h.Owner) || h.Attached {
+		return ""
+	}
+	attempt, primary, ok := SplitReservation(h.ID)
+	if h.Kind == engine.KindReservation && ok && s.Attached(ctx, primary, attempt) {
+		return ""
+	}
+	return "ownerless"
+}
+
+// gone reports whether an owner has been missing from the view for the grace.
+func (s *Sweeper) gone(view member.View, owner string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if view.Has(owner) {
+		delete(s.absent, owner)
+		return false
+	}
+	since, known := s.absent[owner]
+	if !known {
+		s.absent[owner] = clock.Now()
+		return false
+	}
+	return clock.Now()-since > Grace
+}
+
+// ReservationID names a reservation after the attempt and the engine that runs it.
+func ReservationID(attempt, primary string) string { return attempt + "@" + primary }
+
+// SplitReservation takes the name of a reservation apart.
+func SplitReservation(id string) (attempt, primary string, ok bool) { return strings.Cut(id, "@") }
+
+func count(event string) {
+	metrics.GetOrCreateCounter(`pier_sweep_events_total{event="` + event + `"}`).Inc()
+}
--- /dev/null
+++ b/pkg/wire/doc.go
@@ -0,0 +1,2 @@
+// Package wire defines the messages between callers and entry instances.
+package wire
