oplog: Forward outcomes that a lost shard had not recorded

Cause: a writer that lost its shard without knowing it recorded an outcome in memory, and its update then failed. The outcome was dropped, and the next writer called the operation unknown although it had run and had been answered.

Ruled out: the takeover itself and the waiting of joined requests; both were right in the trace of TestSettlementAfterTakeover.

Conclusion: an outcome stays with its former writer until an update that holds it is confirmed, here or at the next writer.

--- a/internal/oplog/plan.go
+++ b/internal/oplog/plan.go
@@ -23,6 +23,7 @@
 	fresh   []*entry // recorded as sent for the first time
 	moved   []Record // to go to a new segment first
 	segment segment
+	settled []string // attempts whose settlement the update holds
 }
 
 // plan builds the next value of the shard from the present state.
@@ -46,6 +47,9 @@
 		e.written = true
 		p.page.Records = append(p.page.Records, e.Record)
 	}
+	for attempt := range s.unconfirmed {
+		p.settled = append(p.settled, attempt)
+	}
 	sortByTime(finished)
 	if size > pageLimit && len(finished) > 0 {
 		cut := len(finished) - len(finished)/segmentShare
--- a/internal/oplog/shard.go
+++ b/internal/oplog/shard.go
@@ -35,6 +35,8 @@
 	stored   map[string]bool // keys of records that are in segments
 	spent    []segment       // dropped from the page, to be deleted
 
+	unconfirmed map[string]Settlement // by attempt, until an update that holds it is confirmed
+
 	opening []chan opened
 	dirty   bool
 	writing bool
@@ -104,6 +106,7 @@
 	s.segments = taken.page.Segments
 	s.entries = make(map[string]*entry, len(taken.page.Records)+len(taken.older))
 	s.stored = make(map[string]bool, len(taken.older))
+	s.unconfirmed = make(map[string]Settlement)
 	for _, r := range taken.older {
 		s.entries[r.Key] = &entry{Record: r, written: true}
 		s.stored[r.Key] = true
@@ -249,6 +252,10 @@
 	for _, r := range p.moved {
 		s.stored[r.Key] = true
 	}
+	for _, attempt := range p.settled {
+		delete(s.unconfirmed, attempt)
+		s.log.active.Add(-1)
+	}
 	for _, e := range p.fresh {
 		if e.cancelled {
 			delete(s.entries, e.Key)
@@ -299,6 +306,10 @@
 		return
 	}
 	delete(s.stored, t.Key) // the newer record goes to the page
+	if _, twice := s.unconfirmed[t.Attempt]; !twice {
+		s.log.active.Add(1)
+	}
+	s.unconfirmed[t.Attempt] = t
 	switch t.State {
 	case Done:
 		e.Record = e.WithOutcome(storable(t.Outcome))
@@ -333,6 +344,11 @@
 		}
 	}
 	s.entries = nil
+	for _, t := range s.unconfirmed {
+		s.log.active.Add(-1)
+		go s.log.forward(t)
+	}
+	s.unconfirmed = nil
 }
 
 // watchForeign declares the operations of former writers that are gone unknown.
--- /dev/null
+++ b/spec/oplog.pml
@@ -0,0 +1,342 @@
+/*
+ * The operation log for one key: two writers, two requests with the same key,
+ * each with up to two attempts, and a store with conditional updates whose
+ * answers may be lost and whose writes may take effect late.
+ *
+ * A crash or a pause is a process that takes no further steps, or takes them
+ * later; the checker visits all of these.
+ *
+ * VARIANT selects a broken protocol, which the checker must catch:
+ *   0 the protocol
+ *   1 dispatch before the update is confirmed
+ *   2 an update without an answer is taken as confirmed, without reading back
+ *   3 takeover without writing an entry
+ *   4 a second update while the first is in flight, and either answer confirms
+ *   5 a verdict of not run although an attempt of the same or a later term is open
+ *   6 a writer that lost the shard still dispatches, and calls the attempt not run
+ */
+
+#define V(n) (c_expr { VARIANT == n })
+
+#define NONE 0
+#define SENT 1
+#define DONE 2
+
+#define YES 1
+#define NO 2
+#define UNKNOWN 3
+#define WRONG 4
+#define MOVED 5
+
+#ifndef TERMS
+#define TERMS 3 /* takeovers that are explored */
+#endif
+
+typedef Page {
+	byte term;
+	byte tok;
+	byte st;
+	byte att;
+	byte rterm /* term of the record */
+};
+
+typedef Update {
+	bit busy;
+	byte expect;
+	Page p
+};
+
+byte ver;
+Page page;
+Update net[4]; /* writer i has slots 2i and 2i+1 */
+byte tokens;
+byte ans[2]; /* 0 none, 1 taken, 2 conflict */
+
+byte runs;
+bit ranFor[2]; /* an attempt of the request ran */
+bit toldNo[2];
+
+bit owned[2];
+byte wterm[2];
+bit want[2];
+
+chan sub[2] = [2] of { byte, byte, byte }; /* request, attempt, term */
+chan rep[2] = [4] of { byte, byte, byte }; /* attempt, verdict, term */
+
+/* A settlement: a former writer proves an attempt not run. */
+chan proof = [2] of { byte };
+
+/* The store carries out any update that is on its way, in any order. */
+active proctype Store()
+{
+	byte s;
+end:	do
+	:: atomic {
+		if
+		:: net[0].busy -> s = 0
+		:: net[1].busy -> s = 1
+		:: net[2].busy -> s = 2
+		:: net[3].busy -> s = 3
+		fi;
+		net[s].busy = 0;
+		if
+		:: net[s].expect == ver ->
+			ver++;
+			page.term = net[s].p.term;
+			page.tok = net[s].p.tok;
+			page.st = net[s].p.st;
+			page.att = net[s].p.att;
+			page.rterm = net[s].p.rterm;
+			if
+			:: ans[s / 2] = 1
+			:: skip /* the answer is lost */
+			fi
+		:: else ->
+			if
+			:: ans[s / 2] = 2
+			:: skip
+			fi
+		fi;
+		s = 0
+	   }
+	od
+}
+
+inline issue(slot) {
+	net[slot].busy = 1;
+	net[slot].expect = wver;
+	net[slot].p.term = uterm;
+	net[slot].p.tok = wtok;
+	net[slot].p.st = ust;
+	net[slot].p.att = uatt;
+	net[slot].p.rterm = urterm
+}
+
+/* start begins an update with the record as it is in memory. */
+inline start(newterm) {
+	tokens++;
+	wtok = tokens;
+	uterm = newterm;
+	ust = st;
+	uatt = att;
+	urterm = rterm;
+	if
+	:: cancelled -> ust = NONE; uatt = 0; urterm = 0
+	:: else
+	fi;
+	ans[i] = 0;
+	writing = 1;
+	dirty = 0;
+	if
+	:: !net[2 * i].busy -> issue(2 * i)
+	:: else -> issue(2 * i + 1)
+	fi
+}
+
+inline answer(v) {
+	if
+	:: waiting[0] != 0 -> rep[0]!waiting[0], v, wterm[i]; waiting[0] = 0
+	:: else
+	fi;
+	if
+	:: waiting[1] != 0 -> rep[1]!waiting[1], v, wterm[i]; waiting[1] = 0
+	:: else
+	fi
+}
+
+inline confirmed(v) {
+	wver = v;
+	writing = 0;
+	if
+	:: taking -> taking = 0; owned[i] = 1; wterm[i] = uterm; disp = 0; cancelled = 0; ready = 0
+	:: !taking && cancelled -> st = NONE; att = 0; rterm = 0; cancelled = 0
+	:: !taking && !cancelled && ((ust == SENT && uatt == att) || V(4)) -> ready = 1
+	:: else
+	fi
+}
+
+/* lost gives the shard up; an attempt that was never dispatched is proved not run. */
+inline lost() {
+	writing = 0;
+	dirty = 0;
+	ready = 0;
+	if
+	:: taking -> taking = 0
+	:: else ->
+		owned[i] = 0;
+		if
+		:: st == SENT && rterm == wterm[i] && !disp ->
+			answer(MOVED);
+			if
+			:: !cancelled && len(proof) < 2 -> proof!att
+			:: cancelled || len(proof) == 2
+			fi;
+			if
+			:: V(6) && !cancelled -> runs++; ranFor[(att - 1) / 2] = 1;
+				assert(!toldNo[(att - 1) / 2])
+			:: else
+			fi
+		:: else
+		fi;
+		st = NONE;
+		att = 0;
+		rterm = 0;
+		cancelled = 0;
+		disp = 0
+	fi
+}
+
+proctype Writer(byte i)
+{
+	byte wver, wtok, st, att, rterm;
+	byte uterm, ust, uatt, urterm;
+	byte waiting[2];
+	byte r, a, t;
+	bit writing, taking, dirty, disp, cancelled, ready;
+
+end:	do
+	/* takeover */
+	:: atomic {
+		want[i] && !owned[i] && !writing && page.term < TERMS && !(net[2 * i].busy && net[2 * i + 1].busy) ->
+		wver = ver;
+		st = page.st;
+		att = page.att;
+		rterm = page.rterm;
+		cancelled = 0;
+		disp = 0;
+		ready = 0;
+		if
+		:: V(3) -> owned[i] = 1; wterm[i] = page.term + 1
+		:: else -> taking = 1; start(page.term + 1)
+		fi
+	   }
+	/* a request arrives */
+	:: atomic {
+		sub[i]?r, a, t ->
+		if
+		:: !owned[i] || t != wterm[i] -> rep[r]!a, WRONG, 0
+		:: else ->
+			if
+			:: st == NONE -> st = SENT; att = a; rterm = wterm[i]; waiting[r] = a; dirty = 1
+			:: st == SENT && rterm == wterm[i] && !cancelled -> waiting[r] = a
+			:: st == SENT && rterm == wterm[i] && cancelled -> rep[r]!a, NO, wterm[i]
+			:: st == SENT && rterm != wterm[i] -> rep[r]!a, UNKNOWN, wterm[i]
+			:: st == DONE -> rep[r]!a, YES, wterm[i]
+			fi
+		fi;
+		r = 0; a = 0; t = 0
+	   }
+	/* an update */
+	:: atomic {
+		owned[i] && dirty && !writing && !(net[2 * i].busy && net[2 * i + 1].busy) -> start(wterm[i])
+	   }
+	:: atomic {
+		V(4) && owned[i] && dirty && writing && !taking && !(net[2 * i].busy && net[2 * i + 1].busy) -> start(wterm[i])
+	   }
+	/* its answer */
+	:: atomic { writing && ans[i] == 1 -> ans[i] = 0; confirmed(wver + 1) }
+	/* no answer, or a conflict: read back */
+	:: atomic {
+		writing && !V(2) ->
+		if
+		:: page.tok == wtok -> confirmed(ver)
+		:: page.tok != wtok && ver > wver -> lost()
+		:: page.tok != wtok && ver == wver && !net[2 * i].busy -> issue(2 * i)
+		:: page.tok != wtok && ver == wver && net[2 * i].busy && !net[2 * i + 1].busy -> issue(2 * i + 1)
+		fi
+	   }
+	:: atomic { writing && V(2) && ans[i] == 2 -> lost() }
+	:: atomic { writing && V(2) && ans[i] == 0 -> confirmed(wver + 1) }
+	/* dispatch */
+	:: atomic {
+		owned[i] && st == SENT && rterm == wterm[i] && !disp && !cancelled && (ready || V(1)) ->
+		disp = 1;
+		runs++;
+		ranFor[(att - 1) / 2] = 1;
+		assert(runs <= 1);
+		assert(!toldNo[(att - 1) / 2])
+	   }
+	/* its outcome */
+	:: atomic { disp && st == SENT -> st = DONE; ready = 0; answer(YES); dirty = owned[i] }
+	/* the deadline, before the dispatch */
+	:: atomic {
+		owned[i] && st == SENT && rterm == wterm[i] && !disp && !cancelled ->
+		cancelled = 1;
+		ready = 0;
+		answer(NO);
+		dirty = 1
+	   }
+	/* a former writer's proof */
+	:: atomic {
+		owned[i] && !writing && st == SENT && rterm != wterm[i] && proof??[eval(att)] ->
+		proof??eval(att);
+		st = NONE; att = 0; rterm = 0;
+		dirty = 1
+	   }
+	od
+}
+
+proctype Request(byte r; byte limit)
+{
+	byte tries, i, a, t, v, vt, open;
+
+	do
+	:: tries < limit ->
+		atomic {
+			if
+			:: i = 0
+			:: i = 1
+			fi;
+			want[i] = 1
+		}
+		if
+		:: atomic { owned[i] -> t = wterm[i] };
+			a = r * 2 + tries + 1;
+			tries++;
+			sub[i]!r, a, t;
+			if
+			:: rep[r]??eval(a), v, vt
+			:: true -> v = 0 /* no answer in time */
+			fi;
+			if
+			:: v == YES || v == UNKNOWN -> break
+			:: v == NO && (open < vt || V(5)) ->
+				atomic {
+					assert(!ranFor[r]);
+					assert(runs == 0);
+					toldNo[r] = 1
+				}
+				break
+			:: v == NO && !(open < vt || V(5)) -> break /* unknown */
+			:: v == WRONG
+			:: v == 0 || v == MOVED ->
+				if
+				:: t > open -> open = t
+				:: else
+				fi
+			fi
+		:: true -> tries++ /* the writer does not answer */
+		fi
+	:: true ->
+		/* the deadline */
+		if
+		:: open == 0 ->
+			atomic {
+				assert(!ranFor[r]);
+				toldNo[r] = 1
+			}
+		:: else
+		fi;
+		break
+	od
+}
+
+init {
+	atomic {
+		ver = 1;
+		run Writer(0);
+		run Writer(1);
+		run Request(0, 2);
+		run Request(1, 1)
+	}
+}
