--- /dev/null
+++ b/cmd/pierctl/check.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"context"
+	"flag"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func init() { register(checkCommand) }
+
+func checkCommand(env *environment) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "check",
+		ShortUsage: "pierctl check FILE...",
+		ShortHelp:  "finds every mistake in configuration files",
+		LongHelp:   "Example:\n  pierctl check examples/guild/config.json",
+		Exec: func(_ context.Context, files []string) error {
+			if len(files) == 0 {
+				return flag.ErrHelp
+			}
+			var last error
+			for _, file := range files {
+				if _, err := env.readConfig(file); err != nil {
+					last = err
+					continue
+				}
+				env.printf("%s: correct\n", file)
+			}
+			return last
+		},
+	}
+}
--- /dev/null
+++ b/cmd/pierctl/diff.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func init() { register(diffCommand) }
+
+func diffCommand(env *environment) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "diff",
+		ShortUsage: "pierctl diff FILE",
+		ShortHelp:  "shows what a file would change",
+		LongHelp:   "Example:\n  pierctl diff config.json",
+		Exec: func(ctx context.Context, files []string) error {
+			if len(files) != 1 {
+				return flag.ErrHelp
+			}
+			data, err := env.readConfig(files[0])
+			if err != nil {
+				return err
+			}
+			o, err := env.current(ctx)
+			if err != nil {
+				return err
+			}
+			env.printf("%s", difference(fmt.Sprintf("version %d", o.Version), o.Value, files[0], data))
+			return nil
+		},
+	}
+}
+
+// note prints a line that is not part of the output proper.
+func note(format string, args ...any) error {
+	_, err := fmt.Fprintf(os.Stderr, format+"\n", args...)
+	return err
+}
--- /dev/null
+++ b/cmd/pierctl/drain.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"net/http"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func init() { register(drainCommand) }
+
+func drainCommand(env *environment) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "drain",
+		ShortUsage: "pierctl drain INSTANCE",
+		ShortHelp:  "begins the planned stop of an entry instance",
+		LongHelp:   "The instance sends callers elsewhere, finishes what it admitted, and ends.\n\nExample:\n  pierctl drain entry-a",
+		Exec: func(ctx context.Context, names []string) error {
+			if len(names) != 1 {
+				return flag.ErrHelp
+			}
+			instances, err := env.instances(ctx)
+			if err != nil {
+				return err
+			}
+			for _, i := range instances {
+				if i.Name == names[0] {
+					return env.ask(ctx, http.MethodPost, i, "/drain", nil, nil)
+				}
+			}
+			return &exitError{exitUsage, "no instance named " + names[0] + " is registered"}
+		},
+	}
+}
--- /dev/null
+++ b/cmd/pierctl/main.go
@@ -0,0 +1,78 @@
+// Command pierctl is the operators' command.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitUsage    = 2
+	exitMistakes = 3 // the configuration has mistakes
+	exitConflict = 4 // another change came first
+	exitPartial  = 5 // applied, but not in force everywhere within the time
+)
+
+const help = `Checks and applies the configuration and looks after entry instances.
+
+Each flag may also be given in the environment (PIER_STORE for -store) or in a
+JSON file named by -settings.
+
+Exit codes: 0 success, 1 failure, 2 wrong use, 3 mistakes in the configuration,
+4 another change came first, 5 applied but not yet in force everywhere.`
+
+// command makes a subcommand; each file of this program registers its own.
+type command func(*environment) *ffcli.Command
+
+var commands []command
+
+func register(c command) { commands = append(commands, c) }
+
+// exitError ends the program with a code.
+type exitError struct {
+	code int
+	text string
+}
+
+func (e *exitError) Error() string { return e.text }
+
+func main() {
+	env := &environment{out: os.Stdout}
+	fs := flag.NewFlagSet("pierctl", flag.ContinueOnError)
+	fs.StringVar(&env.store, "store", "http://127.0.0.1:7000", "URL of the object API")
+	fs.String("settings", "", "JSON file with the flags of this program")
+	root := &ffcli.Command{
+		Name:       "pierctl",
+		ShortUsage: "pierctl [flags] <command>",
+		LongHelp:   help,
+		FlagSet:    fs,
+		Options: []ff.Option{
+			ff.WithEnvVarPrefix("PIER"),
+			ff.WithConfigFileFlag("settings"),
+			ff.WithConfigFileParser(ff.JSONParser),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	for _, c := range commands {
+		root.Subcommands = append(root.Subcommands, c(env))
+	}
+	err := root.ParseAndRun(context.Background(), os.Args[1:])
+	var exit *exitError
+	switch {
+	case err == nil || errors.Is(err, flag.ErrHelp):
+	case errors.As(err, &exit):
+		fmt.Fprintln(os.Stderr, "pierctl:", exit.text)
+		os.Exit(exit.code)
+	default:
+		fmt.Fprintln(os.Stderr, "pierctl:", err)
+		os.Exit(exitFailed)
+	}
+}
--- /dev/null
+++ b/cmd/pierload/main.go
@@ -0,0 +1,81 @@
+// Command pierload sends requests to a site: the examples, or a measured load.
+// It also publishes configuration and instance list for sites of stand-ins.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/corianderpier/corianderpier/internal/config"
+	"github.com/corianderpier/corianderpier/internal/demo"
+)
+
+func main() {
+	root := &ffcli.Command{
+		Name:        "pierload",
+		ShortUsage:  "pierload <command> [flags]",
+		Subcommands: []*ffcli.Command{publishCommand(), demoCommand()},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	err := root.ParseAndRun(context.Background(), os.Args[1:])
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(os.Stderr, "pierload:", err)
+		os.Exit(1)
+	}
+}
+
+func publishCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("publish", flag.ContinueOnError)
+	base := fs.String("store", "", "URL of the object API")
+	dir := fs.String("site", "", "folder with config.json and site.json")
+	engines := fs.String("engines", "", "addresses of the model engines, comma-separated")
+	plains := fs.String("plains", "", "addresses of the plain services, comma-separated")
+	return &ffcli.Command{
+		Name: "publish", ShortHelp: "writes configuration and instance list", FlagSet: fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			site, err := demo.ReadSite(*dir + "/site.json")
+			if err != nil {
+				return err
+			}
+			data, err := os.ReadFile(*dir + "/config.json")
+			if err != nil {
+				return err
+			}
+			c, problems := config.Parse(data)
+			if len(problems) > 0 {
+				return errors.New(problems[0].String())
+			}
+			addrs := make(map[string][]string)
+			for _, s := range c.Services {
+				addrs[s.Name] = strings.Split(*plains, ",")
+				if s.Kind == config.Engine {
+					addrs[s.Name] = strings.Split(*engines, ",")
+				}
+			}
+			return demo.Publish(ctx, *base, c, site, addrs)
+		},
+	}
+}
+
+func demoCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("demo", flag.ContinueOnError)
+	dir := fs.String("site", "", "folder with site.json")
+	entries := fs.String("entries", "", "addresses of entry instances, comma-separated")
+	plains := fs.String("plains", "", "addresses of the plain services, comma-separated")
+	return &ffcli.Command{
+		Name: "demo", ShortHelp: "serves the example requests of a site", FlagSet: fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			site, err := demo.ReadSite(*dir + "/site.json")
+			if err != nil {
+				return err
+			}
+			return demo.Run(ctx, os.Stdout, site, strings.Split(*entries, ","), strings.Split(*plains, ","))
+		},
+	}
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,216 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/corianderpier/corianderpier/internal/config"
+	"github.com/corianderpier/corianderpier/internal/fake"
+	"github.com/corianderpier/corianderpier/internal/roster"
+	"github.com/corianderpier/corianderpier/internal/store"
+	"github.com/corianderpier/corianderpier/pkg/pier"
+	"github.com/corianderpier/corianderpier/pkg/wire"
+)
+
+const promptTime = 25 * time.Second
+
+// Site is an example site file.
+type Site struct {
+	Zones    []string       `json:"zones"`
+	Workers  map[string]int `json:"workers"` // targets of each service
+	Customer string         `json:"customer"`
+	Prompts  []Prompt       `json:"prompts"`
+	Calls    []Call         `json:"calls"`
+}
+
+// Prompt is an example prompt.
+type Prompt struct {
+	Profile string `json:"profile"`
+	Tokens  int    `json:"tokens"`
+	Output  int    `json:"output"`
+}
+
+// Call is an example call.
+type Call struct {
+	Profile string `json:"profile"`
+	Key     string `json:"key"`
+	Body    string `json:"body"`
+	Twice   bool   `json:"twice"` // sent at once through two instances
+}
+
+// ReadSite reads a site file.
+func ReadSite(path string) (Site, error) {
+	var s Site
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return s, err
+	}
+	return s, json.Unmarshal(data, &s)
+}
+
+// Publish writes configuration and instance list into an object API.
+func Publish(ctx context.Context, base string, c config.Config, site Site, addrs map[string][]string) error {
+	data, err := c.Encode()
+	if err != nil {
+		return err
+	}
+	client := &store.Client{Base: base}
+	if err := replace(ctx, client, config.ObjectName, data); err != nil {
+		return err
+	}
+	var list roster.Roster
+	for service, all := range addrs {
+		for i, addr := range all {
+			list.Targets = append(list.Targets, roster.Target{
+				ID: fmt.Sprintf("%s-%d", service, i), Service: service, Addr: addr,
+				Zone: site.Zones[i%len(site.Zones)], State: roster.Live,
+			})
+		}
+	}
+	if data, err = list.Encode(); err != nil {
+		return err
+	}
+	return replace(ctx, client, roster.ObjectName, data)
+}
+
+func replace(ctx context.Context, client *store.Client, name string, data []byte) error {
+	old, err := client.Get(ctx, name)
+	if err != nil && !store.Is(err, store.NotFound) {
+		return err
+	}
+	_, err = client.Put(ctx, name, old.Version, data)
+	return err
+}
+
+// row is one line of the table.
+type row struct {
+	request, profile, entry, target, outcome, ran string
+	tokens                                        int
+	first                                         time.Duration
+	failed                                        bool
+}
+
+// Run serves the example requests, prints a table and returns an error unless every answer was whole and every booking ran once.
+func Run(ctx context.Context, out io.Writer, site Site, seeds, plains []string) error {
+	client := &pier.Client{Seeds: seeds, Customer: site.Customer, Zone: site.Zones[0]}
+	var mu sync.Mutex
+	var rows []row
+	var group sync.WaitGroup
+	add := func(r row) {
+		mu.Lock()
+		defer mu.Unlock()
+		rows = append(rows, r)
+	}
+	for _, p := range site.Prompts {
+		group.Go(func() { add(prompt(ctx, client, p)) })
+	}
+	for _, c := range site.Calls {
+		copies := 1
+		if c.Twice {
+			copies = 2
+		}
+		for i := range copies {
+			through := seeds[i%len(seeds)]
+			group.Go(func() { add(call(ctx, site.Customer, through, c)) })
+		}
+	}
+	group.Wait()
+	failed := print(out, rows)
+	for _, c := range site.Calls {
+		n, err := runsOf(plains, c.Key)
+		if err != nil {
+			return err
+		}
+		if c.Key != "" && n != 1 {
+			failed++
+			_, _ = fmt.Fprintf(out, "%s ran %d times\n", c.Key, n)
+		}
+	}
+	if failed > 0 {
+		return fmt.Errorf("%d requests failed", failed)
+	}
+	return nil
+}
+
+func prompt(ctx context.Context, client *pier.Client, p Prompt) row {
+	ctx, cancel := context.WithTimeout(ctx, promptTime)
+	defer cancel()
+	text := strings.Repeat(p.Profile[:4], p.Tokens)
+	answer, err := client.Complete(ctx, wire.Completion{Profile: p.Profile, Prompt: text, MaxTokens: p.Output})
+	r := row{
+		request: answer.Request, profile: p.Profile, tokens: p.Tokens, entry: answer.Entry, target: answer.Target,
+		first: answer.First, outcome: "whole", ran: string(wire.RanYes),
+	}
+	switch {
+	case err != nil:
+		r.outcome, r.ran, r.failed = err.Error(), "", true
+	case answer.Text != fake.Answer(text, p.Output):
+		r.outcome, r.failed = "not its own answer", true
+	}
+	return r
+}
+
+func call(ctx context.Context, customer, through string, c Call) row {
+	client := &pier.Client{Seeds: []string{through}, Customer: customer, Fixed: true}
+	start := time.Now()
+	result, err := client.Call(ctx, wire.Call{Profile: c.Profile, Body: c.Body}, c.Key)
+	r := row{
+		request: result.Request, profile: c.Profile, entry: through, target: result.Target,
+		first: time.Since(start), outcome: "whole", ran: string(result.Ran),
+	}
+	if result.Joined {
+		r.outcome = "whole, joined"
+	}
+	switch {
+	case err != nil:
+		r.outcome, r.failed = err.Error(), true
+	case result.Body != fake.Receipt(c.Key, c.Body):
+		r.outcome, r.failed = "not its own answer", true
+	}
+	return r
+}
+
+func print(out io.Writer, rows []row) int {
+	failed := 0
+	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "REQUEST\tPROFILE\tTOKENS\tENTRY\tTARGET\tFIRST TOKEN\tOUTCOME\tRAN")
+	for _, r := range rows {
+		if r.failed {
+			failed++
+		}
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%s\t%v\t%s\t%s\n", r.request, r.profile, r.tokens, r.entry, r.target,
+			r.first.Round(time.Millisecond), r.outcome, r.ran)
+	}
+	_ = table.Flush()
+	return failed
+}
+
+func runsOf(plains []string, key string) (int, error) {
+	n := 0
+	for _, addr := range plains {
+		resp, err := http.Get("http://" + addr + "/admin/runs")
+		if err != nil {
+			return 0, err
+		}
+		var runs []fake.Run
+		err = json.NewDecoder(resp.Body).Decode(&runs)
+		_ = resp.Body.Close()
+		if err != nil {
+			return 0, err
+		}
+		for _, r := range runs {
+			if r.Key == key {
+				n++
+			}
+		}
+	}
+	return n, nil
+}
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -218,6 +218,7 @@
 		left: ask.PromptTokens, need: need, made: ask.From / tokenBytes, changed: make(chan struct{}),
 	}
 	s.left -= e.hit(ask)
+	s.left /= 1 + len(ask.Spans) // the engines of a spread prompt process it together
 	e.streams[ask.Attempt] = s
 	if !e.running {
 		e.running = true
