route: Let a request wait for ejected targets and finish what was admitted

Cause: (1) ten refusals in a row ejected every plain service, and each booking then failed at once with no_target although its deadline was seconds away. (2) A prompt whose engine went silent was shed by prediction at its second attempt, with half of its answer delivered.

Ruled out: the length of the ejection and of the stall limit; the traces show the right times, and other targets were free in (2).

Conclusion: no_target means that no target is offered at all; prediction sheds only requests that have not been admitted.

--- a/internal/flow/prompt.go
+++ b/internal/flow/prompt.go
@@ -160,7 +160,7 @@
 	lease, err := p.Table.Acquire(ctx, route.Request{
 		ID: id, Service: r.service.Name, Model: r.Profile.Model, Customer: r.Customer.Name, Share: r.Customer.Share,
 		Tokens: r.Tokens, Output: r.Output, Priority: r.Profile.Priority, Deadline: r.Deadline,
-		Prefix: r.prefix, Exclude: r.exclude,
+		Prefix: r.prefix, Exclude: r.exclude, Admitted: r.attempts > 1,
 	})
 	return place{lease: lease, free: func() {}}, err
 }
--- a/internal/route/node.go
+++ b/internal/route/node.go
@@ -31,11 +31,17 @@
 	busy     bool         // a request of the FIFO baseline has no first token yet
 }
 
-func (n *node) usable(now clock.Millis, r Request) bool {
+// offered reports whether the target takes new work of this kind at all.
+func (n *node) offered(r Request) bool {
 	if r.only != "" && r.only != n.ID {
 		return false
 	}
-	return !n.leaving && n.State == roster.Live && now >= n.ejected && !r.Exclude[n.ID] && n.serves(r.Model)
+	return !n.leaving && n.State == roster.Live && n.serves(r.Model)
+}
+
+// usable reports whether the target is offered, not ejected and not excluded.
+func (n *node) usable(now clock.Millis, r Request) bool {
+	return n.offered(r) && now >= n.ejected && !r.Exclude[n.ID]
 }
 
 func (n *node) serves(model string) bool {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -22,6 +22,7 @@
 	pumpPeriod     = 20 * clock.Millis(1)
 	reportPeriod   = 150 * clock.Millis(1) // between load reports read; one target each
 	staleReport    = clock.Second          // a younger report is not read again
+	excludeTime    = 200 * clock.Millis(1) // for which a request waits for a target that has not failed
 	tokenTime      = 25 * clock.Millis(1)  // between generated tokens, for predictions
 )
 
@@ -38,6 +39,7 @@
 	Deadline clock.Millis
 	Prefix   uint64          // hash of the first part of the prompt; zero for none
 	Exclude  map[string]bool // targets not to be used
+	Admitted bool            // a further attempt of a request that is not to be shed any more
 
 	only string // the target that the request is bound to, if any
 }
@@ -238,13 +240,13 @@
 
 func (t *Table) enqueue(w *wait) {
 	service, ok := t.Config().Service(w.Service)
-	if !ok || len(t.candidates(service, w.Request)) == 0 {
+	if !ok || !t.offers(service, w.Request) {
 		w.granted <- grant{err: &Error{Op: "acquire", Kind: wire.ReasonNoTarget}}
 		return
 	}
 	now := clock.Now()
 	q := t.queueFor(now, service, w)
-	if t.Policy.Admit && now+q.delay(now)+runTime(w.Request) > w.Deadline {
+	if t.Policy.Admit && !w.Admitted && now+q.delay(now)+runTime(w.Request) > w.Deadline {
 		count("shed_at_arrival")
 		w.granted <- grant{err: &Error{Op: "acquire", Kind: wire.ReasonOverload}}
 		return
@@ -257,8 +259,10 @@
 func (t *Table) queueFor(now clock.Millis, service config.Service, w *wait) *queue {
 	name := w.Service
 	if t.Policy.Bind {
-		w.only = pickRoundRobin(t, now, service, w.Request, t.candidates(service, w.Request)).ID
-		name += "@" + w.only
+		if candidates := t.candidates(service, w.Request); len(candidates) > 0 {
+			w.only = pickRoundRobin(t, now, service, w.Request, candidates).ID
+			name += "@" + w.only
+		}
 	}
 	q := t.queues[name]
 	if q == nil {
@@ -289,7 +293,7 @@
 		var chosen *node
 		var reason wire.Reason
 		w := q.next(func(w *wait) bool {
-			chosen, reason = t.choose(now, service, w.Request)
+			chosen, reason = t.choose(now, service, w)
 			return chosen != nil || reason != ""
 		})
 		if w == nil {
@@ -309,16 +313,38 @@
 }
 
 // choose finds a target for a request, or a reason why there will be none in time; neither means to wait.
-func (t *Table) choose(now clock.Millis, service config.Service, r Request) (*node, wire.Reason) {
-	candidates := t.candidates(service, r)
-	if len(candidates) == 0 {
+func (t *Table) choose(now clock.Millis, service config.Service, w *wait) (*node, wire.Reason) {
+	if !t.offers(service, w.Request) {
 		return nil, wire.ReasonNoTarget
 	}
-	if t.Policy.Admit && now+runTime(r) > r.Deadline {
+	if t.Policy.Admit && !w.Admitted && now+runTime(w.Request) > w.Deadline {
 		count("shed_in_queue")
 		return nil, wire.ReasonOverload
 	}
-	return t.Policy.Pick(t, now, service, r, candidates), ""
+	candidates := t.candidates(service, w.Request)
+	if len(candidates) == 0 && now-w.since >= excludeTime {
+		// All are ejected or excluded: better one of those than none.
+		candidates = t.filter(service, func(n *node) bool { return n.offered(w.Request) })
+	}
+	if len(candidates) == 0 {
+		return nil, ""
+	}
+	return t.Policy.Pick(t, now, service, w.Request, candidates), ""
+}
+
+// offers reports whether any target takes this kind of work at all.
+func (t *Table) offers(service config.Service, r Request) bool {
+	return len(t.filter(service, func(n *node) bool { return n.offered(r) })) > 0
+}
+
+func (t *Table) filter(service config.Service, keep func(*node) bool) []*node {
+	var kept []*node
+	for _, n := range t.nodes {
+		if n.Service == service.Name && keep(n) {
+			kept = append(kept, n)
+		}
+	}
+	return kept
 }
 
 func (t *Table) lease(n *node, r Request) *Lease {
@@ -331,17 +357,12 @@
 // candidates are the targets of this instance's subset that can run the request, or all that can if the subset has none.
 func (t *Table) candidates(service config.Service, r Request) []*node {
 	now := clock.Now()
-	var usable, subset []*node
-	view := t.View()
-	for _, n := range t.nodes {
-		if n.Service != service.Name || !n.usable(now, r) {
-			continue
-		}
-		usable = append(usable, n)
-	}
+	usable := t.filter(service, func(n *node) bool { return n.usable(now, r) })
 	if len(usable) <= aperture {
 		return usable
 	}
+	var subset []*node
+	view := t.View()
 	users := max(minUsers, len(view.Members)*aperture/len(usable))
 	for _, n := range usable {
 		if view.Home(t.Self, "target/"+n.ID, users) {
