proof: Cause failures between real processes

Tests freeze, kill, cut and silence instances, engines, plain services and the object API, and check what callers were told against what targets did, the time of every answer, and the memory that engines hold afterwards.

TestOnlyWrongAnswers at first demanded a failure from an engine that repeats frames. Its trace shows that every frame that was passed on was checked and in place, and the answer was the caller's own and whole; the check now demands a failure or the own whole answer, and a failure where every frame is another's.

Before: not tested.

--- /dev/null
+++ b/internal/proof/booking_test.go
@@ -0,0 +1,219 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/corianderpier/corianderpier/internal/stage"
+	"github.com/corianderpier/corianderpier/pkg/wire"
+)
+
+type storeFault struct {
+	Refuse     bool    `json:"refuse"`
+	Delay      int     `json:"delay_ms"`
+	LoseAnswer float64 `json:"lose_answer"`
+	Late       float64 `json:"late"`
+	Stale      float64 `json:"stale"`
+}
+
+type plainFault struct {
+	Refuse     int  `json:"refuse"`
+	LoseAnswer int  `json:"lose_answer"`
+	Cross      int  `json:"cross"`
+	Hang       int  `json:"hang"`
+	Delay      int  `json:"delay_ms"`
+	Leaving    bool `json:"leaving"`
+}
+
+// bookPairs sends each key twice at once through two instances, at a steady pace, until the count is reached.
+func bookPairs(ctx context.Context, site *stage.Site, all *tally, prefix string, keys int, pace time.Duration) {
+	var group sync.WaitGroup
+	for i := range keys {
+		key := fmt.Sprintf("%s-%d", prefix, i)
+		for range 2 {
+			group.Go(func() { all.add(book(ctx, site.Caller("importer"), key)) })
+		}
+		time.Sleep(pace)
+	}
+	group.Wait()
+}
+
+// The writer of a shard is frozen across a takeover, and resumed: at most one run for each key.
+func TestFrozenWriterResumed(t *testing.T) {
+	site := stage.Start(t, stage.Spec{Entries: 3, Plains: 1, Config: siteConfig()})
+	ctx := testContext(t, time.Minute)
+	site.Fault(site.Real(site.Targets[0]), plainFault{Delay: 30})
+	var all tally
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		bookPairs(ctx, site, &all, "freeze", 400, 25*time.Millisecond)
+	}()
+	for i := range 2 {
+		time.Sleep(time.Second)
+		site.Entries[i].Freeze()
+		time.Sleep(4 * time.Second) // long enough to be taken for dead
+		site.Entries[i].Resume()
+	}
+	<-done
+	t.Log(all.summary())
+	all.checkBookings(t, site)
+}
+
+// Instances are killed and replaced while bookings go on.
+func TestKilledWriters(t *testing.T) {
+	site := stage.Start(t, stage.Spec{Entries: 4, Plains: 2, Config: siteConfig()})
+	ctx := testContext(t, time.Minute)
+	var all tally
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		bookPairs(ctx, site, &all, "kill", 400, 20*time.Millisecond)
+	}()
+	for i := range 2 {
+		time.Sleep(2 * time.Second)
+		site.Entries[i].Kill()
+		site.AddEntry()
+	}
+	<-done
+	t.Log(all.summary())
+	all.checkBookings(t, site)
+	all.checkTimes(t, 5*time.Second+4*time.Second) // a caller that loses its instance starts again with a new deadline
+}
+
+// The object API loses answers, carries writes out late, answers slowly and with old versions.
+func TestStoreLosesAnswers(t *testing.T) {
+	site := stage.Start(t, stage.Spec{Entries: 3, Plains: 1, Config: siteConfig()})
+	ctx := testContext(t, time.Minute)
+	site.Fault(site.Store, storeFault{Delay: 5, LoseAnswer: 0.15, Late: 0.15, Stale: 0.2})
+	var all tally
+	bookPairs(ctx, site, &all, "lost", 300, 10*time.Millisecond)
+	site.Fault(site.Store, storeFault{})
+	t.Log(all.summary())
+	all.checkBookings(t, site)
+	all.checkTimes(t, 5*time.Second)
+}
+
+// While the object API is down a booking is refused in time and truthfully, reads go on, and bookings resume afterwards.
+func TestStoreDown(t *testing.T) {
+	is := is.New(t)
+	site := stage.Start(t, stage.Spec{Entries: 3, Engines: 1, Plains: 1, Config: siteConfig()})
+	ctx := testContext(t, time.Minute)
+	is.NoErr(book(ctx, site.Caller("importer"), "before").err)
+	site.Fault(site.Store, storeFault{Refuse: true})
+	var all tally
+	var group sync.WaitGroup
+	for i := range 20 {
+		group.Go(func() { all.add(book(ctx, site.Caller("importer"), fmt.Sprintf("down-%d", i))) })
+		group.Go(func() {
+			o := read(ctx, site.Caller("importer"), "status", fmt.Sprintf("read-%d", i), 1000, 10)
+			if !o.whole {
+				t.Errorf("%s: %v", o.key, o.err)
+			}
+		})
+	}
+	group.Wait()
+	site.Fault(site.Store, storeFault{})
+	t.Log(all.summary())
+	for _, o := range all.all {
+		is.True(o.err != nil)
+		is.Equal(o.ran, wire.RanNo)
+	}
+	all.checkTimes(t, 5*time.Second)
+	time.Sleep(time.Second) // a late write must not bring a dispatch
+	all.checkBookings(t, site)
+	is.NoErr(book(ctx, site.Caller("importer"), "after").err)
+}
+
+// A target that does not answer, answers late, or refuses: the outcome is unknown or not run, never a second run.
+func TestTargetAnswersLateOrNever(t *testing.T) {
+	is := is.New(t)
+	site := stage.Start(t, stage.Spec{Entries: 3, Plains: 2, Config: siteConfig()})
+	ctx := testContext(t, time.Minute)
+	var all tally
+	for _, target := range site.Targets {
+		site.Fault(site.Real(target), plainFault{Hang: 3, LoseAnswer: 5, Refuse: 10, Cross: 5})
+	}
+	bookPairs(ctx, site, &all, "late", 60, 10*time.Millisecond)
+	t.Log(all.summary())
+	all.checkBookings(t, site)
+	all.checkTimes(t, 5*time.Second)
+	unknown := 0
+	for _, o := range all.all {
+		if o.ran == wire.RanUnknown {
+			unknown++
+		}
+	}
+	is.True(unknown > 0)
+}
+
+// Two faults at once, drawn by a seed, over at least 10,000 operations in the long run.
+func TestRandomFaultsOnBookings(t *testing.T) {
+	seed, keys := uint64(7), 5000
+	if testing.Short() {
+		keys = 400
+	}
+	site := stage.Start(t, stage.Spec{Entries: 5, Plains: 2, Config: siteConfig()})
+	ctx := testContext(t, 5*time.Minute)
+	random := rand.New(rand.NewPCG(seed, seed))
+	var all tally
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		bookPairs(ctx, site, &all, "random", keys, 10*time.Millisecond)
+	}()
+	for running := true; running; {
+		first, second := drawFault(random, site), drawFault(random, site)
+		undoFirst, undoSecond := first(), second()
+		running = !waitFor(done, time.Duration(500+random.IntN(4000))*time.Millisecond)
+		undoFirst()
+		undoSecond()
+		running = running && !waitFor(done, time.Duration(200+random.IntN(1500))*time.Millisecond)
+	}
+	t.Log(all.summary())
+	all.checkBookings(t, site)
+}
+
+// drawFault returns a fault that is applied when called and returns how to end it.
+func drawFault(random *rand.Rand, site *stage.Site) func() func() {
+	entry := site.Entries[random.IntN(len(site.Entries))]
+	plain := site.Real(site.Targets[random.IntN(len(site.Targets))])
+	faults := []func() func(){
+		func() func() { entry.Freeze(); return entry.Resume },
+		func() func() {
+			site.Fault(site.Store, storeFault{Refuse: true})
+			return func() { site.Fault(site.Store, storeFault{}) }
+		},
+		func() func() {
+			site.Fault(site.Store, storeFault{LoseAnswer: 0.3, Late: 0.2, Stale: 0.3, Delay: 20})
+			return func() { site.Fault(site.Store, storeFault{}) }
+		},
+		func() func() {
+			site.Fault(plain, plainFault{LoseAnswer: 10, Refuse: 10, Hang: 2, Cross: 5, Delay: 100})
+			return func() { site.Fault(plain, plainFault{}) }
+		},
+		func() func() {
+			if len(site.Entries) < 12 && !entry.Ended() {
+				entry.Kill()
+				site.AddEntry()
+			}
+			return func() {}
+		},
+	}
+	return faults[random.IntN(len(faults))]
+}
+
+func waitFor(done <-chan struct{}, limit time.Duration) bool {
+	select {
+	case <-done:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
--- /dev/null
+++ b/internal/proof/fault_test.go
@@ -0,0 +1,237 @@
+package proof
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/corianderpier/corianderpier/internal/fake"
+	"github.com/corianderpier/corianderpier/internal/roster"
+	"github.com/corianderpier/corianderpier/internal/stage"
+	"github.com/corianderpier/corianderpier/internal/sweep"
+	"github.com/corianderpier/corianderpier/pkg/wire"
+)
+
+const (
+	statusDeadline = 5 * time.Second
+	recordDeadline = time.Minute
+	memoryGrace    = 15 * time.Second // detection, the sweep's grace and two sweeps
+)
+
+// engineSite is a site whose first engine is reached through a proxy.
+func engineSite(t *testing.T, engines int) (*stage.Site, *faultProxy) {
+	t.Helper()
+	var proxy *faultProxy
+	site := stage.Start(t, stage.Spec{
+		Entries: 3, Engines: engines, Plains: 1, Config: siteConfig(),
+		TargetFor: func(id, addr string) string {
+			if id != "engine-0" {
+				return addr
+			}
+			proxy = newProxy(t, addr)
+			return proxy.addr()
+		},
+	})
+	return site, proxy
+}
+
+// readMany sends prompts at once and waits for all answers.
+func readMany(t *testing.T, site *stage.Site, n int, profile string, tokens, output int) *tally {
+	t.Helper()
+	ctx := testContext(t, 2*time.Minute)
+	var all tally
+	var group sync.WaitGroup
+	for i := range n {
+		group.Go(func() {
+			all.add(read(ctx, site.Caller("importer"), profile, fmt.Sprintf("%s-%d", profile, i), tokens, output))
+		})
+	}
+	group.Wait()
+	return &all
+}
+
+// Connections to an engine go silent for good in either direction while new ones work: answers stay whole and in time.
+func TestSilentEngineConnection(t *testing.T) {
+	for _, direction := range []string{"upstream", "downstream"} {
+		t.Run(direction, func(t *testing.T) {
+			site, proxy := engineSite(t, 2)
+			done := make(chan *tally)
+			go func() { done <- readMany(t, site, 20, "status", 2000, 100) }()
+			time.Sleep(700 * time.Millisecond)
+			proxy.silence(direction)
+			all := <-done
+			t.Log(all.summary())
+			all.checkWhole(t)
+			all.checkTimes(t, statusDeadline)
+		})
+	}
+}
+
+// All connections to an engine are cut in the middle of answers, and new ones are refused.
+func TestEngineCut(t *testing.T) {
+	site, proxy := engineSite(t, 2)
+	done := make(chan *tally)
+	go func() { done <- readMany(t, site, 20, "status", 2000, 100) }()
+	time.Sleep(700 * time.Millisecond)
+	proxy.cut()
+	all := <-done
+	t.Log(all.summary())
+	all.checkWhole(t)
+	all.checkTimes(t, statusDeadline)
+}
+
+// With no engine that answers, every request fails by its deadline and says so.
+func TestAllEnginesSilent(t *testing.T) {
+	is := is.New(t)
+	site, proxy := engineSite(t, 1)
+	proxy.silence("downstream")
+	all := readMany(t, site, 10, "status", 2000, 50)
+	t.Log(all.summary())
+	all.checkTimes(t, statusDeadline)
+	for _, o := range all.all {
+		is.True(o.err != nil)
+	}
+}
+
+// Crossed, cut, shortened, repeated and stalled answers: none is taken for complete.
+func TestWrongAnswers(t *testing.T) {
+	faults := map[string]fake.EngineFault{
+		"cross":   {Cross: true, Times: 4},
+		"cut":     {Cut: 3, Times: 4},
+		"shorten": {Shorten: true, Times: 4},
+		"repeat":  {Repeat: true, Times: 4},
+		"silent":  {Silent: 3, Times: 4},
+	}
+	site := stage.Start(t, stage.Spec{Entries: 3, Engines: 2, Plains: 1, Config: siteConfig()})
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			site.Fault(site.Real(site.Targets[0]), fault)
+			all := readMany(t, site, 12, "status", 2000, 40)
+			site.Fault(site.Real(site.Targets[0]), fake.EngineFault{})
+			t.Log(all.summary())
+			all.checkWhole(t)
+			all.checkTimes(t, statusDeadline)
+		})
+	}
+}
+
+// With an engine that only ever answers wrongly a caller has a failure or its own whole answer, pieced together
+// from what was right; from an engine that answers for other attempts nothing is right.
+func TestOnlyWrongAnswers(t *testing.T) {
+	is := is.New(t)
+	site := stage.Start(t, stage.Spec{Entries: 1, Engines: 1, Config: siteConfig()})
+	for _, fault := range []fake.EngineFault{{Cross: true}, {Shorten: true}, {Repeat: true}} {
+		site.Fault(site.Real(site.Targets[0]), fault)
+		all := readMany(t, site, 3, "status", 1000, 20)
+		t.Log(all.summary())
+		for _, o := range all.all {
+			is.True(o.err != nil || (o.whole && !fault.Cross))
+		}
+		all.checkTimes(t, statusDeadline)
+	}
+}
+
+// heldByOwners waits until no engine keeps memory for an owner.
+func heldByOwners(t *testing.T, site *stage.Site) {
+	t.Helper()
+	start := time.Now()
+	stage.Eventually(t, memoryGrace, "no owned memory on any engine", func() bool { return len(site.Held()) == 0 })
+	t.Logf("owned memory was zero after %v (grace of the sweep: %v)", time.Since(start).Round(time.Millisecond), sweep.Grace)
+}
+
+// Instances are killed in prefill, decode and a reservation over several engines: no engine loses memory for good.
+func TestMemoryAfterKill(t *testing.T) {
+	is := is.New(t)
+	site := stage.Start(t, stage.Spec{Entries: 4, Engines: 5, Config: siteConfig()})
+	ctx := testContext(t, time.Minute)
+	var group sync.WaitGroup
+	for i := range 2 {
+		for j := range 3 {
+			name := fmt.Sprintf("kill-%d-%d", i, j)
+			client := site.Direct(site.Entries[i], "importer")
+			client.Tries = 1
+			tokens := []int{1000, 300_000, 900_000}[j] // decode, prefill, several engines
+			group.Go(func() { read(ctx, client, "record", name, tokens, 500) })
+		}
+	}
+	time.Sleep(1500 * time.Millisecond)
+	is.True(len(site.Held()) > 0)
+	site.Entries[0].Kill()
+	site.Entries[1].Kill()
+	heldByOwners(t, site)
+	group.Wait()
+}
+
+// An instance is frozen with streams and a reservation open, and resumed later.
+func TestMemoryAfterFreeze(t *testing.T) {
+	site := stage.Start(t, stage.Spec{Entries: 3, Engines: 5, Config: siteConfig()})
+	ctx := testContext(t, 2*time.Minute)
+	var all tally
+	var group sync.WaitGroup
+	for j, tokens := range []int{1000, 300_000, 900_000} {
+		client := site.Direct(site.Entries[0], "importer")
+		client.Tries = 1
+		group.Go(func() { all.add(read(ctx, client, "record", fmt.Sprintf("freeze-%d", j), tokens, 300)) })
+	}
+	time.Sleep(1500 * time.Millisecond)
+	site.Entries[0].Freeze()
+	time.Sleep(6 * time.Second)
+	site.Entries[0].Resume()
+	group.Wait()
+	t.Log(all.summary())
+	all.checkTimes(t, recordDeadline)
+	heldByOwners(t, site)
+}
+
+// Callers that give up leave no memory behind.
+func TestMemoryAfterCallersLeave(t *testing.T) {
+	site := stage.Start(t, stage.Spec{Entries: 2, Engines: 3, Config: siteConfig()})
+	ctx := testContext(t, 1500*time.Millisecond)
+	var group sync.WaitGroup
+	for i := range 10 {
+		group.Go(func() { read(ctx, site.Caller("importer"), "record", fmt.Sprintf("leave-%d", i), 100_000, 500) })
+	}
+	group.Wait()
+	heldByOwners(t, site)
+}
+
+// A target says that it is leaving while the list still calls it live: it gets no new work, and older news changes nothing.
+func TestLeavingTarget(t *testing.T) {
+	is := is.New(t)
+	site := stage.Start(t, stage.Spec{Entries: 3, Engines: 2, Config: siteConfig()})
+	leaving := site.Real(site.Targets[0])
+	site.Fault(leaving, fake.EngineFault{Leaving: true})
+	all := readMany(t, site, 6, "status", 1000, 5)
+	all.checkWhole(t)
+	time.Sleep(5 * time.Second)
+	site.Fault(leaving, fake.EngineFault{}) // it would take work again
+	site.PutTargets(site.Targets)           // and the list still calls it live
+	time.Sleep(time.Second)
+	ctx := testContext(t, time.Minute)
+	for i := range 60 {
+		answer, err := site.Caller("importer").Complete(ctx, wire.Completion{Profile: "status", Prompt: fmt.Sprint("late ", i), MaxTokens: 1})
+		is.NoErr(err)
+		is.Equal(answer.Target, "engine-1")
+	}
+}
+
+// The list calls a target leaving: every instance stops using it within 5 s.
+func TestLeavingInList(t *testing.T) {
+	is := is.New(t)
+	site := stage.Start(t, stage.Spec{Entries: 5, Engines: 2, Config: siteConfig()})
+	targets := append([]roster.Target(nil), site.Targets...)
+	targets[0].State = roster.Leaving
+	site.PutTargets(targets)
+	time.Sleep(5 * time.Second)
+	ctx := testContext(t, time.Minute)
+	for _, e := range site.Entries {
+		for i := range 10 {
+			answer, err := site.Direct(e, "importer").Complete(ctx, wire.Completion{Profile: "status", Prompt: fmt.Sprint("listed ", i), MaxTokens: 1})
+			is.NoErr(err)
+			is.Equal(answer.Target, "engine-1")
+		}
+	}
+}
