feed: Let every instance look at the source at a bounded rate

Cause: with eight of nine instances cut off from the object API, the ninth was not among the three that watch, and looked only every 20 s. And an instance that had just been reconnected refused work until one of its own probes was answered.

Ruled out: more watches (each counts as a call, and any fixed number can be cut off); vouching for the age of the newest look on the probes, which takes several seconds to reach everybody at 390 nodes and so needs a threshold above 5 s.

Cost: max(2 s, 10 ms x instances) between looks, so at most 100 conditional reads a second for each object at any size.

Also: an instance that knows of a newer configuration and cannot get it for 5 s refuses work, and instances can advertise another peer address and dial from their own, which the relays of the tests need.

Conclusion: watches for speed, bounded polling for certainty.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,6 +34,8 @@
 const (
 	watchers      = 3                // instances that watch each shared object
 	isolatedAfter = 5 * clock.Second // without an answer from the object API or a peer
+	minPoll       = 2 * clock.Second
+	pollShare     = 10 * clock.Millis(1) // of the poll period for each instance: a hundred reads a second in all
 	headerTime    = 5 * time.Second
 	maxHeader     = 16 << 10 // bytes
 	idleTime      = 60 * time.Second
@@ -86,10 +88,13 @@
 		return err
 	}
 	e.self.Peer = e.peers.Local()
+	if e.Settings.Advertise != "" {
+		e.self.Peer = e.Settings.Advertise
+	}
 	e.group.Self = e.self
 	e.group.Start()
 	slog.Info("instance started", "name", e.self.Name, "zone", e.self.Zone, "listen", e.self.Addr,
-		"peer", e.self.Peer, "admin", admin.Addr().String())
+		"peer", e.peers.Local(), "admin", admin.Addr().String())
 
 	var g run.Group
 	e.add(&g, e.loop.Run)
@@ -213,6 +218,7 @@
 		},
 		Peers:    e.peerAddrs,
 		Watching: func() bool { return e.group.View().Home(e.self.Name, "watch/"+name, watchers) },
+		Period:   func() clock.Millis { return max(minPoll, clock.Millis(len(e.group.View().Members))*pollShare) },
 		Accept:   accept,
 	}
 	f.Start()
@@ -304,8 +310,12 @@
 	}
 }
 
-// isolated reports whether neither the object API nor any of the known peers has answered for too long.
+// isolated reports whether nothing has been heard of the object API and the known peers for too long, or a newer
+// configuration is known and cannot be had.
 func (e *Entry) isolated() bool {
+	if e.configs.Behind() > isolatedAfter {
+		return true
+	}
 	if len(e.group.View().Members) < 2 {
 		return false
 	}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -23,6 +23,7 @@
 	Zone      string // availability zone
 	Listen    string // TCP address for callers
 	Peer      string // UDP address for other instances
+	Advertise string // address that other instances use in place of Peer, if any
 	Admin     string // TCP address for operators
 	Store     string // URL of the object API
 	Instances string // URL of the instance list
@@ -40,6 +41,7 @@
 	fs.StringVar(&s.Zone, "zone", "", "availability zone of this instance")
 	fs.StringVar(&s.Listen, "listen", "127.0.0.1:7070", "IP address and TCP port for callers")
 	fs.StringVar(&s.Peer, "peer", "127.0.0.1:7071", "IP address and UDP port for other instances")
+	fs.StringVar(&s.Advertise, "advertise", "", "IP address and UDP port that other instances use; empty for that of -peer")
 	fs.StringVar(&s.Admin, "admin", "127.0.0.1:7072", "IP address and TCP port for operators")
 	fs.StringVar(&s.Store, "store", "", "URL of the object API")
 	fs.StringVar(&s.Instances, "instances", "", "URL of the instance list")
@@ -64,6 +66,7 @@
 	add(!namePattern.MatchString(s.Zone), "zone", s.Zone, names)
 	add(!address(s.Listen), "listen", s.Listen, "an IP address and a port")
 	add(!address(s.Peer), "peer", s.Peer, "an IP address and a port")
+	add(s.Advertise != "" && !address(s.Advertise), "advertise", s.Advertise, "an IP address and a port, or nothing")
 	add(!address(s.Admin), "admin", s.Admin, "an IP address and a port")
 	add(!web(s.Store), "store", s.Store, "an http or https URL")
 	add(!web(s.Instances), "instances", s.Instances, "an http or https URL")
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -130,13 +130,14 @@
 		}
 		changed := s.changed
 		s.mu.Unlock()
-		if ok && (object.Version > above || wait == 0) {
+		if ok && object.Version > above {
 			w.Header().Set("ETag", tag(object.Version))
 			_, _ = w.Write(object.Value)
 			return
 		}
-		if !ok && wait == 0 {
-			w.WriteHeader(http.StatusNotFound)
+		if wait == 0 {
+			w.Header().Set("ETag", tag(object.Version))
+			w.WriteHeader(absent(ok))
 			return
 		}
 		select {
@@ -151,6 +152,14 @@
 	}
 }
 
+// absent is the status of an answer without a value.
+func absent(exists bool) int {
+	if exists {
+		return http.StatusNotModified
+	}
+	return http.StatusNotFound
+}
+
 func (s *Store) put(w http.ResponseWriter, r *http.Request, name string, value []byte) {
 	if len(value) > store.MaxValue {
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -15,7 +15,6 @@
 
 const (
 	watchTime   = 10 * clock.Second // of one watch call
-	pollPeriod  = 20 * clock.Second // for instances that do not watch
 	startPeriod = 200 * clock.Millis(1)
 	retryPause  = 500 * clock.Millis(1)
 )
@@ -28,12 +27,15 @@
 	Fetch    func(ctx context.Context, peer string) (store.Object, error) // from another instance
 	Peers    func() []string                                              // addresses of other instances
 	Watching func() bool                                                  // whether this instance is to watch
+	Period   func() clock.Millis                                          // between looks at the source by an instance that does not watch
 	Accept   func(o store.Object) error                                   // takes a newer version into force
 
 	mu      sync.Mutex
 	current atomic.Pointer[store.Object]
 	hints   chan hint
-	reached atomic.Int64 // when the source last answered, milliseconds
+	reached atomic.Int64  // when the source last answered, milliseconds
+	known   atomic.Uint64 // highest version that a peer is known to have
+	behind  atomic.Int64  // since when a version above the one in force is known, milliseconds; zero if none is
 }
 
 type hint struct {
@@ -60,17 +62,29 @@
 	if version <= f.Current().Version {
 		return
 	}
+	if version > f.known.Load() {
+		f.known.Store(version)
+	}
+	f.behind.CompareAndSwap(0, int64(clock.Now()))
 	select {
 	case f.hints <- hint{version, peer}:
 	default:
 	}
 }
 
+// Behind returns for how long a version above the one in force has been known.
+func (f *Feed) Behind() clock.Millis {
+	if since := f.behind.Load(); since != 0 {
+		return clock.Now() - clock.Millis(since)
+	}
+	return 0
+}
+
 // Run follows the object until the context ends.
 func (f *Feed) Run(ctx context.Context) error {
 	go f.watch(ctx)
 	for ctx.Err() == nil {
-		wait := pollPeriod
+		wait := f.Period()
 		if f.Current().Version == 0 {
 			wait = startPeriod
 			f.begin(ctx)
@@ -117,7 +131,7 @@
 }
 
 func (f *Feed) poll(ctx context.Context) {
-	o, err := f.Read(ctx)
+	o, err := f.look(ctx)
 	if err != nil {
 		f.failed("read", err)
 		return
@@ -126,6 +140,14 @@
 	f.take(o)
 }
 
+// look reads the object, or nothing if it has not changed.
+func (f *Feed) look(ctx context.Context) (store.Object, error) {
+	if version := f.Current().Version; version > 0 {
+		return f.Watch(ctx, version, 0)
+	}
+	return f.Read(ctx)
+}
+
 // follow reads a version that a peer is known to have.
 func (f *Feed) follow(ctx context.Context, h hint) {
 	f.poll(ctx)
@@ -162,6 +184,9 @@
 		return
 	}
 	f.current.Store(&o)
+	if o.Version >= f.known.Load() {
+		f.behind.Store(0)
+	}
 	slog.Info("object in force", "feed", f.Name, "version", o.Version)
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -93,7 +93,7 @@
 	ticked  time.Time
 	synced  int
 	view    atomic.Pointer[View]
-	heard   atomic.Int64 // when a peer last answered, milliseconds
+	heard   atomic.Int64 // when a peer was last heard, milliseconds
 }
 
 type known struct {
@@ -127,7 +127,7 @@
 // View returns the present list of instances.
 func (g *Group) View() View { return *g.view.Load() }
 
-// Heard returns when a peer last answered.
+// Heard returns when a peer was last heard.
 func (g *Group) Heard() clock.Millis { return clock.Millis(g.heard.Load()) }
 
 // Run probes until the context ends.
@@ -192,6 +192,7 @@
 }
 
 func (g *Group) receive(p packet) {
+	g.heard.Store(int64(clock.Now()))
 	g.learn(p.From)
 	for _, r := range p.Rumors {
 		if r.Member != nil {
@@ -234,7 +235,6 @@
 
 func (g *Group) confirm(sent *probe) {
 	sent.acked = true
-	g.heard.Store(int64(clock.Now()))
 }
 
 func (g *Group) tick(ctx context.Context) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -208,7 +208,7 @@
 	n.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := quic.DialAddr(ctx, addr, n.tls.Clone(), settings())
+	conn, err := n.connect(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -219,6 +219,31 @@
 	return l, nil
 }
 
+// connect dials from a socket of its own on the instance's address.
+func (n *Node) connect(ctx context.Context, addr string) (*quic.Conn, error) {
+	to, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		return nil, err
+	}
+	local := &net.UDPAddr{IP: n.conn.LocalAddr().(*net.UDPAddr).IP}
+	socket, err := net.ListenUDP("udp", local)
+	if err != nil {
+		return nil, err
+	}
+	transport := &quic.Transport{Conn: socket}
+	conn, err := transport.Dial(ctx, to, n.tls.Clone(), settings())
+	if err != nil {
+		_ = transport.Close()
+		_ = socket.Close()
+		return nil, err
+	}
+	context.AfterFunc(conn.Context(), func() {
+		_ = transport.Close()
+		_ = socket.Close()
+	})
+	return conn, nil
+}
+
 func (n *Node) unuse(l *link) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
