proof: Cut instances from one another, race operators, replace all in turn

Cause: membership, configuration and the planned stop were not proved.

Before: not tested.

Ruled out: cutting by proxy library, which passes TCP only; a small UDP relay in the tests tells senders apart by address.

--- /dev/null
+++ b/internal/proof/config_test.go
@@ -0,0 +1,157 @@
+package proof
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/config"
+	"github.com/corianderpier/corianderpier/internal/stage"
+)
+
+const inForceLimit = 5 * time.Second
+
+// changed returns the site's configuration with another deadline.
+func changed(deadline clock.Millis) config.Config {
+	c := siteConfig()
+	p, _ := c.Profile("status")
+	p.Deadline = deadline
+	return c.WithProfile(p)
+}
+
+func inForce(t *testing.T, entries []*stage.Process, version uint64) {
+	t.Helper()
+	start := time.Now()
+	stage.Eventually(t, inForceLimit, fmt.Sprintf("version %d in force everywhere", version), func() bool {
+		for _, e := range entries {
+			status, err := e.Status()
+			if err != nil || status.Config < version {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("version %d in force on %d instances after %v", version, len(entries), time.Since(start).Round(time.Millisecond))
+}
+
+// An accepted change is in force everywhere in time, also where the object API is cut off right after it.
+func TestConfigInForce(t *testing.T) {
+	proxies := make(map[int]*faultProxy)
+	site := stage.Start(t, stage.Spec{
+		Entries: 9, Config: siteConfig(),
+		StoreFor: func(i int, addr string) string {
+			proxies[i] = newProxy(t, addr)
+			return proxies[i].addr()
+		},
+	})
+	inForce(t, site.Entries, site.PutConfig(changed(6*clock.Second)))
+	for i := 1; i < 9; i++ {
+		proxies[i].cut()
+	}
+	version := site.PutConfig(changed(7 * clock.Second))
+	// One instance that reaches the object API is enough.
+	inForce(t, site.Entries, version)
+}
+
+// An object API that serves older versions never brings one back into force.
+func TestConfigNeverReverts(t *testing.T) {
+	site := stage.Start(t, stage.Spec{Entries: 3, Config: siteConfig()})
+	site.PutConfig(changed(6 * clock.Second))
+	version := site.PutConfig(changed(7 * clock.Second))
+	inForce(t, site.Entries, version)
+	site.Fault(site.Store, storeFault{Stale: 1})
+	fresh := site.AddEntry() // it must not trust the object API alone
+	deadline := time.Now().Add(4 * time.Second)
+	for time.Now().Before(deadline) {
+		for _, e := range site.Entries[:3] {
+			if status, err := e.Status(); err == nil && status.Config < version {
+				t.Fatalf("%s has version %d in force after %d", e.Name, status.Config, version)
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	inForce(t, []*stage.Process{fresh}, version)
+}
+
+// An instance that starts while the object API is down gets the configuration from its peers and serves.
+func TestStartInOutage(t *testing.T) {
+	is := is.New(t)
+	site := stage.Start(t, stage.Spec{Entries: 2, Engines: 1, Config: siteConfig()})
+	site.Fault(site.Store, storeFault{Refuse: true})
+	fresh := site.AddEntry("-peers", site.Entries[0].Peer+","+site.Entries[1].Peer)
+	stage.Eventually(t, 10*time.Second, "the new instance is ready", func() bool {
+		status, err := fresh.Status()
+		return err == nil && status.Ready
+	})
+	is.True(read(testContext(t, time.Minute), site.Direct(fresh, "importer"), "status", "fresh", 100, 1).whole)
+}
+
+// pierctl runs the operators' command and returns its exit code and output.
+func pierctl(t *testing.T, site *stage.Site, args ...string) (int, string) {
+	t.Helper()
+	cmd := exec.Command(filepath.Join(stage.Build(t), "pierctl"), append([]string{"-store", "http://" + site.Store}, args...)...)
+	out, _ := cmd.CombinedOutput()
+	return cmd.ProcessState.ExitCode(), string(out)
+}
+
+func writeConfig(t *testing.T, c config.Config) string {
+	t.Helper()
+	data, err := c.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Of racing operators one wins, and the others are shown the winner's change.
+func TestRacingOperators(t *testing.T) {
+	is := is.New(t)
+	site := stage.Start(t, stage.Spec{Entries: 2, Config: siteConfig()})
+	base := fmt.Sprint(site.PutConfig(changed(6 * clock.Second)))
+	var group sync.WaitGroup
+	codes := make([]int, 4)
+	outputs := make([]string, 4)
+	for i := range codes {
+		path := writeConfig(t, changed(clock.Millis(10+i)*clock.Second))
+		group.Go(func() { codes[i], outputs[i] = pierctl(t, site, "apply", "-base", base, path) })
+	}
+	group.Wait()
+	winner := -1
+	for i, code := range codes {
+		if code == 0 {
+			is.Equal(winner, -1)
+			winner = i
+		} else {
+			is.Equal(code, 4)
+		}
+	}
+	is.True(winner >= 0)
+	for i, output := range outputs {
+		if i != winner {
+			is.True(strings.Contains(output, fmt.Sprintf(`"deadline": "%ds"`, 10+winner)))
+		}
+	}
+}
+
+// The object API loses the answer to a change that took effect: the operator is still told the truth.
+func TestApplyWithLostAnswer(t *testing.T) {
+	is := is.New(t)
+	site := stage.Start(t, stage.Spec{Entries: 2, Config: siteConfig()})
+	site.Fault(site.Store, storeFault{LoseAnswer: 1})
+	code, output := pierctl(t, site, "apply", writeConfig(t, changed(8*clock.Second)))
+	t.Log(output)
+	is.Equal(code, 0)
+	is.True(strings.Contains(output, "in force on 2 of 2"))
+}
--- /dev/null
+++ b/internal/proof/drain_test.go
@@ -0,0 +1,59 @@
+package proof
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/corianderpier/corianderpier/internal/stage"
+)
+
+// All instances are replaced one after another under load, with long reads open and callers that hold old addresses: no request fails.
+func TestRollingReplacement(t *testing.T) {
+	entries := 9
+	if testing.Short() {
+		entries = 4
+	}
+	site := stage.Start(t, stage.Spec{Entries: entries, Engines: 5, Plains: 2, Config: siteConfig()})
+	ctx := testContext(t, 5*time.Minute)
+	var bookings, reads tally
+	var group sync.WaitGroup
+	var stop atomic.Bool
+	for i := range 6 {
+		caller := site.Caller("importer")
+		group.Go(func() {
+			for n := 0; !stop.Load(); n++ {
+				bookings.add(book(ctx, caller, fmt.Sprintf("roll-%d-%d", i, n)))
+				time.Sleep(40 * time.Millisecond)
+			}
+		})
+		group.Go(func() {
+			for n := 0; !stop.Load(); n++ {
+				reads.add(read(ctx, caller, "status", fmt.Sprintf("roll-%d-%d", i, n), 2000, 20))
+			}
+		})
+		group.Go(func() {
+			for n := 0; !stop.Load(); n++ {
+				tokens := []int{100_000, 500_000}[n%2]
+				reads.add(read(ctx, caller, "record", fmt.Sprintf("long-%d-%d", i, n), tokens, 150))
+			}
+		})
+	}
+	for i := range entries {
+		old := site.Entries[i]
+		site.AddEntry()
+		old.Drain()
+		if err := old.Wait(90 * time.Second); err != nil {
+			t.Errorf("%s: %v", old.Name, err)
+		}
+	}
+	stop.Store(true)
+	group.Wait()
+	t.Log("bookings: ", bookings.summary())
+	t.Log("reads: ", reads.summary())
+	bookings.checkBookings(t, site)
+	bookings.checkWhole(t)
+	reads.checkWhole(t)
+}
--- /dev/null
+++ b/internal/proof/member_test.go
@@ -0,0 +1,161 @@
+package proof
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/corianderpier/corianderpier/internal/member"
+	"github.com/corianderpier/corianderpier/internal/stage"
+	"github.com/corianderpier/corianderpier/pkg/wire"
+)
+
+const detectLimit = 6 * time.Second
+
+// sees reports whether an instance takes another for alive.
+func sees(t *testing.T, e *stage.Process, name string) bool {
+	t.Helper()
+	status, err := e.Status()
+	if err != nil {
+		return false
+	}
+	for _, m := range status.Members {
+		if m.Name == name {
+			return m.State == member.Alive
+		}
+	}
+	return false
+}
+
+// converged waits until every given instance takes exactly the given others for alive.
+func converged(t *testing.T, limit time.Duration, entries []*stage.Process, want []*stage.Process) {
+	t.Helper()
+	stage.Eventually(t, limit, "all views agree", func() bool {
+		for _, e := range entries {
+			status, err := e.Status()
+			if err != nil || len((member.View{Members: status.Members}).Live()) != len(want) {
+				return false
+			}
+			for _, w := range want {
+				if !sees(t, e, w.Name) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// A killed and a frozen instance are detected; the resumed one returns under a higher incarnation.
+func TestDetection(t *testing.T) {
+	is := is.New(t)
+	site := stage.Start(t, stage.Spec{Entries: 5, Config: siteConfig()})
+	start := time.Now()
+	site.Entries[0].Kill()
+	stage.Eventually(t, detectLimit, "the killed instance is dead", func() bool {
+		return !sees(t, site.Entries[3], "entry-0") && !sees(t, site.Entries[4], "entry-0")
+	})
+	t.Logf("killed: seen after %v", time.Since(start).Round(time.Millisecond))
+	start = time.Now()
+	site.Entries[1].Freeze()
+	stage.Eventually(t, detectLimit, "the frozen instance is dead", func() bool { return !sees(t, site.Entries[3], "entry-1") })
+	t.Logf("frozen: seen after %v", time.Since(start).Round(time.Millisecond))
+	site.Entries[1].Resume()
+	converged(t, 15*time.Second, site.Entries[1:], site.Entries[1:])
+	status, err := site.Entries[3].Status()
+	is.NoErr(err)
+	for _, m := range status.Members {
+		if m.Name == "entry-1" {
+			is.True(m.Incarnation > m.Born)
+		}
+	}
+}
+
+// All instances start at once and find one another.
+func TestSimultaneousRestart(t *testing.T) {
+	site := stage.Start(t, stage.Spec{Entries: 6, Config: siteConfig()})
+	for _, e := range site.Entries {
+		e.Kill()
+	}
+	old := len(site.Entries)
+	for i := range old {
+		site.Entries = append(site.Entries, site.StartEntry(fmt.Sprintf("entry-%d", i), i))
+	}
+	converged(t, 15*time.Second, site.Entries[old:], site.Entries[old:])
+}
+
+// What one instance sends arrives nowhere, while it hears the others: no view flaps, and it stays in use or is gone for all.
+func TestOneWayCut(t *testing.T) {
+	site, network := startNetwork(t, stage.Spec{Entries: 4, Engines: 2, Config: siteConfig()})
+	network.set(func(from, _ int) bool { return from == 0 })
+	rest := site.Entries[1:]
+	converged(t, 15*time.Second, rest, rest)
+	network.set(nil)
+	converged(t, 30*time.Second, site.Entries, site.Entries)
+}
+
+// Two halves take each other for dead, with reads and bookings in both: nothing runs twice, every answer is whole and in time, and no memory is lost.
+func TestHalvesApart(t *testing.T) {
+	site, network := startNetwork(t, stage.Spec{Entries: 6, Engines: 3, Plains: 2, Config: siteConfig()})
+	ctx := testContext(t, 2*time.Minute)
+	var bookings, reads tally
+	var group sync.WaitGroup
+	stop := time.Now().Add(14 * time.Second)
+	for i, e := range site.Entries {
+		group.Go(func() {
+			for n := 0; time.Now().Before(stop); n++ {
+				// The instances of both halves get the same keys.
+				bookings.add(book(ctx, site.Direct(e, "importer"), fmt.Sprintf("halves-%d", n)))
+				time.Sleep(30 * time.Millisecond)
+			}
+		})
+		group.Go(func() {
+			for n := 0; time.Now().Before(stop); n++ {
+				reads.add(read(ctx, site.Direct(e, "importer"), "record", fmt.Sprintf("half-%d-%d", i, n), 60_000, 60))
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	network.set(func(from, to int) bool { return (from < 3) != (to < 3) })
+	time.Sleep(10 * time.Second)
+	network.set(nil)
+	group.Wait()
+	t.Log("bookings: ", bookings.summary())
+	t.Log("reads: ", reads.summary())
+	bookings.checkBookings(t, site)
+	bookings.checkTimes(t, statusDeadline)
+	reads.checkWhole(t)
+	reads.checkTimes(t, recordDeadline)
+	converged(t, 30*time.Second, site.Entries, site.Entries)
+	heldByOwners(t, site)
+}
+
+// An instance that neither the object API nor any peer answers refuses work, truthfully, and its callers are served elsewhere.
+func TestIsolatedInstance(t *testing.T) {
+	is := is.New(t)
+	proxies := make(map[int]*faultProxy)
+	site, network := startNetwork(t, stage.Spec{
+		Entries: 3, Engines: 1, Config: siteConfig(),
+		StoreFor: func(i int, addr string) string {
+			proxies[i] = newProxy(t, addr)
+			return proxies[i].addr()
+		},
+	})
+	ctx := testContext(t, time.Minute)
+	proxies[0].cut()
+	network.set(func(from, to int) bool { return from == 0 || to == 0 })
+	stage.Eventually(t, 7*time.Second, "the instance refuses", func() bool {
+		client := site.Direct(site.Entries[0], "importer")
+		client.Tries = 1
+		o := read(ctx, client, "status", "isolated", 100, 1)
+		return o.ran == wire.RanNo && o.reason == wire.ReasonIsolated
+	})
+	is.True(read(ctx, site.Caller("importer"), "status", "elsewhere", 100, 1).whole)
+	proxies[0].heal()
+	network.set(nil)
+	converged(t, 30*time.Second, site.Entries, site.Entries)
+	is.True(read(ctx, site.Direct(site.Entries[0], "importer"), "status", "back", 100, 1).whole)
+}
--- /dev/null
+++ b/internal/proof/relay_test.go
@@ -0,0 +1,137 @@
+package proof
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/corianderpier/corianderpier/internal/stage"
+)
+
+// network puts a relay before each entry instance's UDP port; instance i has the address 127.0.2.(i+1).
+type network struct {
+	t      testing.TB
+	mu     sync.Mutex
+	relays []*relay
+	drop   func(from, to int) bool // nil to drop nothing
+}
+
+type relay struct {
+	network  *network
+	to       int
+	conn     *net.UDPConn
+	mu       sync.Mutex
+	upstream *net.UDPAddr
+	back     map[string]*net.UDPConn
+}
+
+func ownIP(i int) net.IP { return net.IPv4(127, 0, 2, byte(i+1)) }
+
+// startNetwork runs a site whose instances reach one another through relays.
+func startNetwork(t *testing.T, spec stage.Spec) (*stage.Site, *network) {
+	t.Helper()
+	n := &network{t: t}
+	entries := spec.Entries
+	spec.Entries = 0
+	site := stage.Start(t, spec)
+	for i := range entries {
+		r := n.add()
+		p := site.AddEntry("-peer", ownIP(i).String()+":0", "-advertise", r.conn.LocalAddr().String())
+		r.connect(p.Peer)
+	}
+	site.WaitReady(20 * time.Second)
+	return site, n
+}
+
+func (n *network) add() *relay {
+	n.t.Helper()
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	r := &relay{network: n, to: len(n.relays), conn: conn, back: make(map[string]*net.UDPConn)}
+	n.relays = append(n.relays, r)
+	n.t.Cleanup(r.close)
+	go r.run()
+	return r
+}
+
+// set changes which packets are dropped.
+func (n *network) set(drop func(from, to int) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.drop = drop
+}
+
+func (n *network) drops(from, to int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.drop != nil && n.drop(from, to)
+}
+
+func (r *relay) connect(addr string) {
+	upstream, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		r.network.t.Fatal(err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.upstream = upstream
+}
+
+func (r *relay) run() {
+	buffer := make([]byte, 2048)
+	for {
+		size, from, err := r.conn.ReadFromUDP(buffer)
+		if err != nil {
+			return
+		}
+		sender := int(from.IP.To4()[3]) - 1
+		if r.network.drops(sender, r.to) {
+			continue
+		}
+		if back := r.backFor(from, sender); back != nil {
+			_, _ = back.Write(buffer[:size])
+		}
+	}
+}
+
+// backFor returns the socket that stands for a sender towards the instance.
+func (r *relay) backFor(from *net.UDPAddr, sender int) *net.UDPConn {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.upstream == nil {
+		return nil
+	}
+	if back := r.back[from.String()]; back != nil {
+		return back
+	}
+	back, err := net.DialUDP("udp", nil, r.upstream)
+	if err != nil {
+		return nil
+	}
+	r.back[from.String()] = back
+	go func() {
+		buffer := make([]byte, 2048)
+		for {
+			size, err := back.Read(buffer)
+			if err != nil {
+				return
+			}
+			if !r.network.drops(r.to, sender) {
+				_, _ = r.conn.WriteToUDP(buffer[:size], from)
+			}
+		}
+	}()
+	return back
+}
+
+func (r *relay) close() {
+	_ = r.conn.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, back := range r.back {
+		_ = back.Close()
+	}
+}
