load, bench: Compare policies on the same open-loop arrivals

Cause: nothing measured what short prompts suffer behind long ones.

Three baselines are policies of the same table.

Ruled out: closed-loop load, which hides waiting.

--- /dev/null
+++ b/internal/bench/latency_test.go
@@ -0,0 +1,114 @@
+package bench
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/corianderpier/corianderpier/internal/engine"
+	"github.com/corianderpier/corianderpier/internal/stage"
+	"github.com/corianderpier/corianderpier/pkg/pier"
+	"github.com/corianderpier/corianderpier/pkg/wire"
+)
+
+const latencyRequests = 400
+
+// residentMemory returns the resident memory of a process in bytes.
+func residentMemory(t *testing.T, pid int) int {
+	t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var size, resident int
+	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
+		t.Fatal(err)
+	}
+	return resident * os.Getpagesize()
+}
+
+// direct sends a prompt to an engine itself and returns the time to its first frame.
+func direct(t *testing.T, client *http.Client, addr, name string) time.Duration {
+	t.Helper()
+	start := time.Now()
+	body, err := json.Marshal(engine.Prompt{Attempt: name, Owner: "bench/1", Prompt: name, PromptTokens: 1, MaxTokens: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := client.Post("http://"+addr+engine.PathCompletions, "application/json", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if strings.HasPrefix(lines.Text(), "data: ") {
+			return time.Since(start)
+		}
+	}
+	t.Fatal("no frame")
+	return 0
+}
+
+// The time to first token through the path against a direct call, in the same run, and the memory of an open stream.
+func TestLatency(t *testing.T) {
+	if !*full {
+		t.Skip("run by make bench")
+	}
+	site := stage.Start(t, stage.Spec{Entries: 3, Engines: 2, Config: benchConfig(), EngineArgs: []string{"-step", "1ms"}})
+	ctx := context.Background()
+	client := site.Caller("customer-0")
+	through, straight := hdrhistogram.New(1, 10_000_000, 3), hdrhistogram.New(1, 10_000_000, 3)
+	for i := range latencyRequests {
+		name := fmt.Sprint("latency ", i)
+		_ = straight.RecordValue(direct(t, http.DefaultClient, site.Real(site.Targets[i%2]), name).Microseconds())
+		answer, err := client.Complete(ctx, wire.Completion{Profile: "short", Prompt: name, MaxTokens: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = through.RecordValue(answer.First.Microseconds())
+	}
+	for _, q := range []float64{50, 95, 99} {
+		d, p := straight.ValueAtQuantile(q), through.ValueAtQuantile(q)
+		fmt.Printf("first token p%.0f: direct %d us, through the path %d us, ratio %.2f\n", q, d, p, float64(p)/float64(d))
+	}
+	openStreams(t)
+}
+
+// openStreams measures how much memory an entry instance needs for each open stream.
+func openStreams(t *testing.T) {
+	site := stage.Start(t, stage.Spec{
+		Entries: 1, Engines: 20, Config: benchConfig(), EngineArgs: []string{"-step", "500ms"},
+	})
+	entry := site.Entries[0]
+	before := residentMemory(t, entry.Pid())
+	const streams = 1000
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	var group sync.WaitGroup
+	client := &pier.Client{Seeds: []string{entry.Addr}, Customer: "customer-0", Fixed: true, Tries: 1}
+	for i := range streams {
+		group.Go(func() {
+			_, _ = client.Complete(ctx, wire.Completion{Profile: "long", Prompt: fmt.Sprint("open ", i), MaxTokens: 100})
+		})
+	}
+	time.Sleep(5 * time.Second)
+	status, err := entry.Status()
+	if err != nil {
+		t.Fatal(err)
+	}
+	after := residentMemory(t, entry.Pid())
+	fmt.Printf("memory: %d KB idle, %d KB with %d open streams, %d KB for each\n", before>>10, after>>10, status.Active, (after-before)>>10/max(status.Active, 1))
+	cancel()
+	group.Wait()
+}
--- /dev/null
+++ b/internal/bench/policy_test.go
@@ -0,0 +1,140 @@
+package bench
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"text/tabwriter"
+	"time"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/config"
+	"github.com/corianderpier/corianderpier/internal/load"
+	"github.com/corianderpier/corianderpier/internal/stage"
+)
+
+var (
+	full     = flag.Bool("full", false, "run the measurements")
+	policies = flag.String("policies", "balanced,roundrobin,least,fifo", "policies to compare")
+	loads    = flag.String("loads", "nolong70,calm70,over120,crest,dies,zone", "loads to run")
+	length   = flag.Duration("length", 20*time.Second, "of each run")
+	seed     = flag.Uint64("seed", 11, "of the arrivals")
+)
+
+const (
+	engines    = 16
+	enginesPer = 100_000 // prompt tokens a second of each engine
+	entries    = 5
+	customers  = 10
+	output     = 40 // tokens
+	warmup     = 3 * time.Second
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	stage.Cleanup()
+	os.Exit(code)
+}
+
+func benchConfig() config.Config {
+	c := config.Config{
+		Services: []config.Service{
+			{Name: "models", Kind: config.Engine, Slots: 64, Long: 50_000, Room: 70, Memory: 400_000},
+			{Name: "desk", Kind: config.Plain, Slots: 64},
+		},
+		Profiles: []config.Profile{
+			{Name: "short", Service: "models", Model: "small", Deadline: 5 * clock.Second, Priority: 5, MaxPrompt: 2_000_000, MaxOutput: 500, Idempotent: true},
+			{Name: "medium", Service: "models", Model: "small", Deadline: 15 * clock.Second, Priority: 3, MaxPrompt: 2_000_000, MaxOutput: 500, Idempotent: true},
+			{Name: "long", Service: "models", Model: "small", Deadline: clock.Minute, Priority: 1, MaxPrompt: 2_000_000, MaxOutput: 500, Idempotent: true},
+			{Name: "hold", Service: "desk", Deadline: 20 * clock.Second},
+		},
+		Operations: config.Operations{Shards: 64, Writes: 300, Retain: clock.Hour},
+	}
+	for i := range customers {
+		share := 1
+		if i < 2 {
+			share = 4
+		}
+		c.Customers = append(c.Customers, config.Customer{Name: load.CustomerName(i), Share: share})
+	}
+	return c
+}
+
+func deadlineOf(class load.Class) time.Duration {
+	p, _ := benchConfig().Profile(string(class))
+	return p.Deadline.Duration()
+}
+
+// scenario is one load and what goes wrong during it.
+type scenario struct {
+	factor float64 // of the capacity
+	noLong bool
+	swing  func(at time.Duration) float64
+	fault  func(site *stage.Site)
+}
+
+func scenarios() map[string]scenario {
+	return map[string]scenario{
+		"nolong70": {factor: 0.7, noLong: true},
+		"calm70":   {factor: 0.7},
+		"over120":  {factor: 1.2},
+		"crest": {factor: 0.4, swing: func(at time.Duration) float64 {
+			if at > 8*time.Second && at < 12*time.Second {
+				return 4
+			}
+			return 1
+		}},
+		"dies": {factor: 0.5, fault: func(site *stage.Site) { site.Stop("engine-0") }},
+		"zone": {factor: 0.5, fault: func(site *stage.Site) {
+			for i := 0; i < engines; i += 3 {
+				site.Stop(fmt.Sprintf("engine-%d", i))
+			}
+		}},
+	}
+}
+
+func runLoad(t *testing.T, policy, name string) []load.Summary {
+	t.Helper()
+	sc := scenarios()[name]
+	site := stage.Start(t, stage.Spec{
+		Entries: entries, Engines: engines, Config: benchConfig(), Zones: []string{"zone-a", "zone-b", "zone-c"},
+		EngineArgs: []string{"-prefill", fmt.Sprint(enginesPer)}, EntryArgs: []string{"-policy", policy},
+		Separate: sc.fault != nil,
+	})
+	plan := load.Plan(load.Shape{
+		Seed: *seed, Length: *length, Tokens: sc.factor * engines * enginesPer, Swing: sc.swing,
+		NoLong: sc.noLong, Customers: customers, Output: output,
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), *length+2*time.Minute)
+	defer cancel()
+	if sc.fault != nil {
+		time.AfterFunc(*length/2, func() { sc.fault(site) })
+	}
+	runner := &load.Runner{Profile: func(c load.Class) string { return string(c) }, Warmup: warmup}
+	for _, e := range site.Entries {
+		runner.Entries = append(runner.Entries, e.Addr)
+	}
+	summaries := load.Summarise(runner.Run(ctx, plan), deadlineOf)
+	site.Close()
+	return summaries
+}
+
+// Policies side by side on the same arrivals.
+func TestPolicies(t *testing.T) {
+	if !*full {
+		t.Skip("run by make bench")
+	}
+	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, load.Header())
+	for _, name := range strings.Split(*loads, ",") {
+		for _, policy := range strings.Split(*policies, ",") {
+			for _, s := range runLoad(t, policy, name) {
+				_, _ = fmt.Fprintln(table, s.Row(name+" "+policy))
+			}
+			_ = table.Flush()
+		}
+	}
+}
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -41,6 +41,7 @@
 	EntryArgs  []string
 	Config     config.Config
 	StoreFor   func(i int, addr string) string // address of the object API for an entry instance; nil for the real one
+	Separate   bool                            // a process for each target, so that Stop can end one
 	TargetFor  func(id, addr string) string    // address listed for a target; nil for the real one
 }
 
@@ -54,6 +55,8 @@
 	t     testing.TB
 	bin   string
 	addrs map[string]string // own addresses of the targets
+	procs map[string]*Process
+	all   []*Process
 }
 
 // Process is one running program.
@@ -117,7 +120,7 @@
 // Start runs a site and waits until every entry instance serves.
 func Start(t testing.TB, spec Spec) *Site {
 	t.Helper()
-	s := &Site{Spec: spec, t: t, bin: Build(t), addrs: make(map[string]string)}
+	s := &Site{Spec: spec, t: t, bin: Build(t), addrs: make(map[string]string), procs: make(map[string]*Process)}
 	s.Store = s.run("store", "pierfake", "store").firstLine(t)
 	s.addTargets(spec.Engines, engineService(spec.Config), "engine", spec.EngineArgs)
 	s.addTargets(spec.Plains, plainService(spec.Config), "plain", nil)
@@ -313,9 +316,7 @@
 	if n == 0 {
 		return
 	}
-	listen := strings.TrimSuffix(strings.Repeat("127.0.0.1:0,", n), ",")
-	all := append([]string{kind, "-listen", listen}, args...)
-	addrs := strings.Split(s.run(kind, "pierfake", all...).firstLine(s.t), ",")
+	addrs := s.listen(n, kind, args)
 	for i, addr := range addrs {
 		id := fmt.Sprintf("%s-%d", kind, i)
 		listed := addr
@@ -332,6 +333,34 @@
 	}
 }
 
+// listen starts the targets of one kind, in one process or one each, and returns their addresses.
+func (s *Site) listen(n int, kind string, args []string) []string {
+	s.t.Helper()
+	if !s.Spec.Separate {
+		list := strings.TrimSuffix(strings.Repeat("127.0.0.1:0,", n), ",")
+		return strings.Split(s.run(kind, "pierfake", append([]string{kind, "-listen", list}, args...)...).firstLine(s.t), ",")
+	}
+	var addrs []string
+	for i := range n {
+		name := fmt.Sprintf("%s-%d", kind, i)
+		s.procs[name] = s.run(name, "pierfake", append([]string{kind, "-listen", "127.0.0.1:0"}, args...)...)
+	}
+	for i := range n {
+		addrs = append(addrs, s.procs[fmt.Sprintf("%s-%d", kind, i)].firstLine(s.t))
+	}
+	return addrs
+}
+
+// Stop ends a target of a site with separate processes at once.
+func (s *Site) Stop(id string) { s.procs[id].Kill() }
+
+// Close ends all processes before the test does.
+func (s *Site) Close() {
+	for _, p := range s.all {
+		p.Kill()
+	}
+}
+
 func (s *Site) run(name, program string, args ...string) *Process {
 	s.t.Helper()
 	p := &Process{Name: name, log: &logBuffer{}, done: make(chan struct{})}
@@ -340,6 +369,7 @@
 	if err := p.cmd.Start(); err != nil {
 		s.t.Fatal(err)
 	}
+	s.all = append(s.all, p)
 	go func() {
 		p.err = p.cmd.Wait()
 		close(p.done)
