front, pier, certs: Tell waiting from silence, and serve TLS to callers

Cause: a caller whose connection to its instance went silent waited for ever before the first token, as nothing was sent until then; and the certificate settings had no effect.

An instance sends a comment each second on a stream that waits; the client tries another address after 3 s without a byte.

Ruled out: informational responses (1xx) for calls, which some plain clients take for the answer; the client has a patience for calls instead, and repeats only with a key.

--- /dev/null
+++ b/internal/certs/doc.go
@@ -0,0 +1,3 @@
+// Package certs serves the certificate for callers and takes a replaced file
+// into use without a restart.
+package certs
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/hex"
 	"encoding/json"
 	"log/slog"
@@ -14,6 +15,7 @@
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 
+	"github.com/corianderpier/corianderpier/internal/certs"
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/config"
 	"github.com/corianderpier/corianderpier/internal/feed"
@@ -106,6 +108,9 @@
 	e.add(&g, e.ledger.Run)
 	e.add(&g, e.sweeper.Run)
 	e.add(&g, func(ctx context.Context) error { return e.register(ctx, admin.Addr().String()) })
+	if callers, err = e.secure(&g, callers); err != nil {
+		return err
+	}
 	e.serve(&g, callers, e.front.Handler())
 	e.serve(&g, admin, e.adminHandler())
 	e.add(&g, func(ctx context.Context) error {
@@ -328,6 +333,19 @@
 	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
 }
 
+// secure puts TLS on the callers' listener if there is a certificate.
+func (e *Entry) secure(g *run.Group, callers net.Listener) (net.Listener, error) {
+	if e.Settings.Cert == "" {
+		return callers, nil
+	}
+	source := &certs.Source{CertFile: e.Settings.Cert, KeyFile: e.Settings.CertKey}
+	if err := source.Load(); err != nil {
+		return nil, err
+	}
+	e.add(g, source.Run)
+	return tls.NewListener(callers, source.Config()), nil
+}
+
 func (e *Entry) serve(g *run.Group, l net.Listener, h http.Handler) {
 	server := &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -142,7 +142,9 @@
 	}
 	out := &stream{w: w, control: http.NewResponseController(w), start: a.start, profile: a.job.Profile.Name}
 	_ = out.control.SetWriteDeadline(a.job.Deadline.Time().Add(writeGrace))
+	stop := out.keepAlive()
 	err := f.Prompts.Run(r.Context(), a.job, out.emit)
+	stop()
 	if err == nil {
 		out.end()
 		slog.Debug("prompt answered", "request", a.job.ID, "bytes", out.sent)
--- a/pkg/pier/client.go
+++ b/pkg/pier/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
@@ -18,13 +19,15 @@
 )
 
 const (
-	dialTimeout    = 500 * time.Millisecond
-	addressTimeout = time.Second
-	maxLine        = 1 << 20 // bytes of one event
-	maxProblem     = 64 << 10
-	defaultTries   = 4
-	silentLimit    = 10 * time.Second // without an event once an answer has begun
-	avoidTime      = 5 * time.Second  // for which a failed address is used last
+	dialTimeout     = 500 * time.Millisecond
+	addressTimeout  = time.Second
+	maxLine         = 1 << 20 // bytes of one event
+	maxProblem      = 64 << 10
+	defaultTries    = 4
+	silentLimit     = 3 * time.Second  // without a byte of a streamed answer; an instance sends at least a comment each second
+	uploadTime      = time.Microsecond // allowed for each byte of a prompt
+	defaultPatience = 15 * time.Second
+	avoidTime       = 5 * time.Second // for which a failed address is used last
 )
 
 // Kind classifies a failure.
@@ -62,9 +65,11 @@
 type Client struct {
 	Seeds    []string // addresses to ask first
 	Customer string
-	Zone     string // entry instances of this availability zone are preferred
-	Tries    int    // addresses tried for one request; zero for 4
-	Fixed    bool   // uses the seeds alone and asks for no addresses
+	Zone     string        // entry instances of this availability zone are preferred
+	Tries    int           // addresses tried for one request; zero for 4
+	Fixed    bool          // uses the seeds alone and asks for no addresses
+	TLS      *tls.Config   // nil for plain HTTP
+	Patience time.Duration // without an answer to a call, before another address is tried; zero for 15 s
 
 	once  sync.Once
 	http  *http.Client
@@ -112,6 +117,8 @@
 	var result wire.Result
 	var tries int
 	err = c.each(ctx, "call", key != "", func(addr string) error {
+		ctx, cancel := context.WithTimeout(ctx, c.patience())
+		defer cancel()
 		resp, err := c.post(ctx, addr, wire.PathCalls, key, body)
 		if err != nil {
 			return err
@@ -186,37 +193,44 @@
 
 // pick returns an address: a kept one while the answer may be kept, avoiding those that failed lately.
 func (c *Client) pick(ctx context.Context) (string, error) {
-	if c.Fixed {
-		return c.Seeds[rand.IntN(len(c.Seeds))], nil
-	}
 	c.mu.Lock()
 	stale := time.Now().After(c.until)
 	c.mu.Unlock()
-	if stale {
+	if stale && !c.Fixed {
 		if err := c.refresh(ctx); err != nil {
 			return "", err
 		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var fresh []string
-	for _, a := range c.known.Addresses {
-		if time.Now().After(c.avoid[a.Addr]) {
-			fresh = append(fresh, a.Addr)
-		}
+	all := c.Seeds
+	if !c.Fixed {
+		all = addrsOf(c.known)
 	}
-	if len(fresh) == 0 {
-		c.until = time.Time{}
-		for _, a := range c.known.Addresses {
-			fresh = append(fresh, a.Addr)
+	if len(all) == 0 {
+		return "", &Error{Op: "addresses", Kind: NoEntry, Problem: wire.Problem{Ran: wire.RanNo}}
+	}
+	var fresh []string
+	for _, addr := range all {
+		if time.Now().After(c.avoid[addr]) {
+			fresh = append(fresh, addr)
 		}
 	}
 	if len(fresh) == 0 {
-		return "", &Error{Op: "addresses", Kind: NoEntry, Problem: wire.Problem{Ran: wire.RanNo}}
+		c.until = time.Time{} // ask again next time
+		fresh = all
 	}
 	return fresh[rand.IntN(len(fresh))], nil
 }
 
+func addrsOf(a wire.Addresses) []string {
+	var addrs []string
+	for _, address := range a.Addresses {
+		addrs = append(addrs, address.Addr)
+	}
+	return addrs
+}
+
 func (c *Client) shun(addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -229,10 +243,7 @@
 // refresh asks known addresses and then the seeds which instances to use.
 func (c *Client) refresh(ctx context.Context) error {
 	c.mu.Lock()
-	var ask []string
-	for _, a := range c.known.Addresses {
-		ask = append(ask, a.Addr)
-	}
+	ask := addrsOf(c.known)
 	c.mu.Unlock()
 	ask = append(ask, shuffled(c.Seeds)...)
 	var last error
@@ -254,7 +265,7 @@
 func (c *Client) askAddresses(ctx context.Context, addr string) (wire.Addresses, error) {
 	ctx, cancel := context.WithTimeout(ctx, addressTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+wire.PathAddresses+"?zone="+c.Zone, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.scheme()+addr+wire.PathAddresses+"?zone="+c.Zone, nil)
 	if err != nil {
 		return wire.Addresses{}, err
 	}
@@ -272,13 +283,14 @@
 func (c *Client) stream(ctx context.Context, addr string, body []byte, start time.Time) (Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	silent := time.AfterFunc(silentLimit+time.Duration(len(body))*uploadTime, cancel)
+	defer silent.Stop()
 	resp, err := c.post(ctx, addr, wire.PathCompletions, "", body)
 	if err != nil {
 		return Answer{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	silent := time.AfterFunc(silentLimit, cancel)
-	defer silent.Stop()
+	silent.Reset(silentLimit)
 	answer := Answer{Entry: addr}
 	var text bytes.Buffer
 	failing := false
@@ -318,7 +330,7 @@
 }
 
 func (c *Client) post(ctx context.Context, addr, path, key string, body []byte) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.scheme()+addr+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, &Error{Op: path, Kind: Broken, Err: err, Problem: wire.Problem{Ran: wire.RanNo}}
 	}
@@ -344,11 +356,25 @@
 	return nil, refusal(path, data)
 }
 
+func (c *Client) patience() time.Duration {
+	if c.Patience == 0 {
+		return defaultPatience
+	}
+	return c.Patience
+}
+
+func (c *Client) scheme() string {
+	if c.TLS == nil {
+		return "http://"
+	}
+	return "https://"
+}
+
 func (c *Client) client() *http.Client {
 	c.once.Do(func() {
 		dialer := &net.Dialer{Timeout: dialTimeout}
 		c.http = &http.Client{Transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
+			DialContext: dialer.DialContext, TLSClientConfig: c.TLS, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
 		}}
 	})
 	return c.http
