bench: Measure latency, slopes and the writes of the operation log

Ruled out: profiles inside the instances; processor time, resident memory and the instances' own counters are read from outside.

Before: none.

--- /dev/null
+++ b/internal/bench/capacity_test.go
@@ -0,0 +1,210 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/corianderpier/corianderpier/internal/load"
+	"github.com/corianderpier/corianderpier/internal/roster"
+	"github.com/corianderpier/corianderpier/internal/stage"
+	"github.com/corianderpier/corianderpier/pkg/wire"
+)
+
+const (
+	ticksPerSecond = 100 // of processor time in /proc
+	settleTime     = 10 * time.Second
+	sampleTime     = 10 * time.Second
+)
+
+// usage is what one instance has used so far.
+type usage struct {
+	processor time.Duration
+	memory    int // resident bytes
+	packets   float64
+}
+
+func usageOf(t *testing.T, p *stage.Process) usage {
+	t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fields := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+1:]))
+	var user, system int
+	if _, err := fmt.Sscan(fields[11]+" "+fields[12], &user, &system); err != nil {
+		t.Fatal(err)
+	}
+	return usage{
+		processor: time.Duration(user+system) * time.Second / ticksPerSecond,
+		memory:    residentMemory(t, p.Pid()),
+		packets:   p.Metric("pier_packet_bytes_total"),
+	}
+}
+
+func storeCalls(t *testing.T, site *stage.Site) map[string]int {
+	t.Helper()
+	resp, err := http.Get("http://" + site.Store + "/admin/calls")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	calls := make(map[string]int)
+	if err := json.NewDecoder(resp.Body).Decode(&calls); err != nil {
+		t.Fatal(err)
+	}
+	return calls
+}
+
+func sample(t *testing.T, site *stage.Site) []usage {
+	t.Helper()
+	var all []usage
+	for _, e := range site.Entries {
+		all = append(all, usageOf(t, e))
+	}
+	return all
+}
+
+// report prints the use of each instance over a time, on average and at most.
+func report(name string, before, after []usage, over time.Duration) {
+	var processor, memory, packets, most float64
+	for i := range after {
+		core := float64(after[i].processor-before[i].processor) / float64(over) * 100
+		processor += core
+		most = max(most, core)
+		memory += float64(after[i].memory) / (1 << 20)
+		packets += (after[i].packets - before[i].packets) / over.Seconds()
+	}
+	n := float64(len(after))
+	fmt.Printf("%s: %.2f%% of a core (most %.2f%%), %.1f MB, %.0f bytes/s of packets each\n", name, processor/n, most, memory/n, packets/n)
+}
+
+// What control costs each instance without requests, at three sizes.
+func TestControlSlope(t *testing.T) {
+	if !*full {
+		t.Skip("run by make bench")
+	}
+	for _, n := range []int{9, 27, 81} {
+		site := stage.Start(t, stage.Spec{Entries: n, Engines: 16, Plains: 3, Config: benchConfig()})
+		time.Sleep(settleTime)
+		storeCalls(t, site)
+		before := sample(t, site)
+		time.Sleep(sampleTime)
+		report(fmt.Sprintf("%d instances, idle", n), before, sample(t, site), sampleTime)
+		calls := storeCalls(t, site)
+		fmt.Printf("%d instances: %.1f reads/s of object API and instance list, %.1f writes/s\n", n,
+			float64(calls[http.MethodGet])/sampleTime.Seconds(), float64(calls[http.MethodPut])/sampleTime.Seconds())
+		start := time.Now()
+		version := site.PutConfig(benchConfig().WithProfile(benchConfig().Profiles[0]))
+		stage.Eventually(t, 10*time.Second, "in force", func() bool {
+			for _, e := range site.Entries {
+				if status, err := e.Status(); err != nil || status.Config < version {
+					return false
+				}
+			}
+			return true
+		})
+		fmt.Printf("%d instances: a change in force everywhere after %v\n", n, time.Since(start).Round(time.Millisecond))
+		site.Close()
+	}
+}
+
+// What the size of the instance list costs each instance.
+func TestTargetSlope(t *testing.T) {
+	if !*full {
+		t.Skip("run by make bench")
+	}
+	for _, n := range []int{20, 200, 600} {
+		site := stage.Start(t, stage.Spec{Entries: 9, Engines: 16, Config: benchConfig()})
+		targets := append([]roster.Target(nil), site.Targets...)
+		for i := len(targets); i < n; i++ {
+			t := targets[i%16]
+			t.ID = fmt.Sprintf("engine-%d", i)
+			targets = append(targets, t)
+		}
+		site.PutTargets(targets)
+		time.Sleep(settleTime)
+		before := sample(t, site)
+		time.Sleep(sampleTime)
+		report(fmt.Sprintf("%d targets, 9 instances, idle", n), before, sample(t, site), sampleTime)
+		site.Close()
+	}
+}
+
+// What a request and a generated token cost an instance.
+func TestRequestSlope(t *testing.T) {
+	if !*full {
+		t.Skip("run by make bench")
+	}
+	for _, rate := range []float64{20, 40, 80} {
+		for _, tokens := range []int{10, 100} {
+			site := stage.Start(t, stage.Spec{Entries: 3, Engines: 16, Config: benchConfig(), EngineArgs: []string{"-prefill", "10000000"}})
+			time.Sleep(2 * time.Second)
+			before := sample(t, site)
+			plan := load.Plan(load.Shape{Seed: *seed, Length: sampleTime, Tokens: rate * 20_000, NoLong: true, Customers: customers, Output: tokens})
+			runner := &load.Runner{Profile: func(c load.Class) string { return string(c) }}
+			for _, e := range site.Entries {
+				runner.Entries = append(runner.Entries, e.Addr)
+			}
+			runner.Run(context.Background(), plan)
+			name := fmt.Sprintf("%.1f requests/s of %d tokens on each of 3 instances", float64(len(plan))/sampleTime.Seconds()/3, tokens)
+			report(name, before, sample(t, site), sampleTime)
+			site.Close()
+		}
+	}
+}
+
+// Updates of the object API for each operation, at four rates; an object for each operation would take three.
+func TestOperationWrites(t *testing.T) {
+	if !*full {
+		t.Skip("run by make bench")
+	}
+	for _, rate := range []int{1, 10, 100, 1000} {
+		site := stage.Start(t, stage.Spec{Entries: 9, Plains: 3, Config: benchConfig()})
+		caller := site.Caller("customer-0")
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		// The shards are taken over first.
+		sendCalls(ctx, caller.Call, "warm", 200, 100)
+		storeCalls(t, site)
+		start := time.Now()
+		count := min(max(rate*10, 20), 5000)
+		failed, slowest := sendCalls(ctx, caller.Call, "write", count, rate)
+		spent := time.Since(start)
+		time.Sleep(time.Second) // outcomes are written after the answers
+		puts := storeCalls(t, site)[http.MethodPut]
+		fmt.Printf("%d operations/s: %.2f writes for each, %.0f writes/s, slowest answer %v, %d failed of %d\n", rate,
+			float64(puts)/float64(count), float64(puts)/spent.Seconds(), slowest.Round(time.Millisecond), failed, count)
+		cancel()
+		site.Close()
+	}
+}
+
+type callFunc func(ctx context.Context, ask wire.Call, key string) (wire.Result, error)
+
+// sendCalls sends calls at a rate and returns how many failed, and the longest time to an answer.
+func sendCalls(ctx context.Context, call callFunc, prefix string, count, rate int) (failed int, slowest time.Duration) {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	start := time.Now()
+	for i := range count {
+		time.Sleep(time.Until(start.Add(time.Duration(i) * time.Second / time.Duration(rate))))
+		group.Go(func() {
+			sent := time.Now()
+			_, err := call(ctx, wire.Call{Profile: "hold", Body: "slot"}, fmt.Sprintf("%s-%d", prefix, i))
+			mu.Lock()
+			defer mu.Unlock()
+			slowest = max(slowest, time.Since(sent))
+			if err != nil {
+				failed++
+			}
+		})
+	}
+	group.Wait()
+	return failed, slowest
+}
--- a/internal/bench/policy_test.go
+++ b/internal/bench/policy_test.go
@@ -81,6 +81,7 @@
 		"nolong70": {factor: 0.7, noLong: true},
 		"calm70":   {factor: 0.7},
 		"over120":  {factor: 1.2},
+		"over200":  {factor: 2},
 		"crest": {factor: 0.4, swing: func(at time.Duration) float64 {
 			if at > 8*time.Second && at < 12*time.Second {
 				return 4
--- a/internal/proof/fault_test.go
+++ b/internal/proof/fault_test.go
@@ -235,3 +235,31 @@
 		}
 	}
 }
+
+// Connections between a caller and an instance go silent in either direction: the caller is served elsewhere in time.
+func TestEntrySilent(t *testing.T) {
+	for _, direction := range []string{"upstream", "downstream"} {
+		t.Run(direction, func(t *testing.T) {
+			site := stage.Start(t, stage.Spec{Entries: 2, Engines: 2, Config: siteConfig()})
+			ctx := testContext(t, time.Minute)
+			proxy := newProxy(t, site.Entries[0].Addr)
+			var all tally
+			var group sync.WaitGroup
+			for i := range 10 {
+				client := site.Caller("importer")
+				client.Seeds, client.Fixed = []string{proxy.addr(), site.Entries[1].Addr}, true
+				group.Go(func() {
+					time.Sleep(time.Duration(i) * 150 * time.Millisecond)
+					all.add(read(ctx, client, "status", fmt.Sprintf("entry-silent-%d", i), 2000, 40))
+				})
+			}
+			time.Sleep(700 * time.Millisecond)
+			proxy.silence(direction)
+			group.Wait()
+			t.Log(all.summary())
+			all.checkWhole(t)
+			// The silent connection costs its limit, and the other instance starts a deadline of its own.
+			all.checkTimes(t, 3*time.Second+statusDeadline)
+		})
+	}
+}
