front: Count request bodies as they arrive

Cause: memory was taken for the length that a header promises, so 26 connections that promised 20 MB and sent nothing had all others refused for 15 s.

Ruled out: a shorter body time, which would cut slow callers off.

Before: the budget of 512 MB was spent by 26 idle connections.

Conclusion: a promise costs nothing.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -273,30 +273,17 @@
 
 // read decodes the body within the memory and time allowed, and returns how to give the memory back.
 func (f *Front) read(w http.ResponseWriter, r *http.Request, id string, ask any) (func(), bool) {
-	size := r.ContentLength
-	if size < 0 {
-		size = maxBody // an upper bound, as the length is unknown
-	}
-	if size > maxBody {
+	if r.ContentLength > maxBody {
 		f.fail(w, id, wire.ReasonTooLarge, wire.RanNo, "the body is over "+strconv.Itoa(maxBody)+" bytes")
 		return nil, false
 	}
-	if !f.bodies.take(size) {
-		f.fail(w, id, wire.ReasonMemory, wire.RanNo, "no memory for the body")
-		return nil, false
-	}
-	give := func() { f.bodies.give(size) }
+	counted := &countedReader{from: http.MaxBytesReader(w, r.Body, maxBody), budget: &f.bodies}
+	give := func() { f.bodies.give(counted.taken) }
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTime))
 	var body bytes.Buffer
-	_, err := body.ReadFrom(http.MaxBytesReader(w, r.Body, maxBody))
-	if err != nil {
+	if _, err := body.ReadFrom(counted); err != nil {
 		give()
-		reason := wire.ReasonBadRequest
-		var large *http.MaxBytesError
-		if eris.As(err, &large) {
-			reason = wire.ReasonTooLarge
-		}
-		f.fail(w, id, reason, wire.RanNo, "the body could not be read")
+		f.fail(w, id, bodyReason(err), wire.RanNo, "the body could not be read")
 		return nil, false
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
@@ -315,6 +302,18 @@
 	return give, true
 }
 
+func bodyReason(err error) wire.Reason {
+	var large *http.MaxBytesError
+	switch {
+	case eris.As(err, &large):
+		return wire.ReasonTooLarge
+	case eris.Is(err, errNoMemory):
+		return wire.ReasonMemory
+	default:
+		return wire.ReasonBadRequest
+	}
+}
+
 func (f *Front) fail(w http.ResponseWriter, id string, reason wire.Reason, ran wire.Ran, detail string) {
 	refused(reason).Inc()
 	p := problem(id, reason, ran, detail)
--- a/internal/front/limit.go
+++ b/internal/front/limit.go
@@ -1,6 +1,13 @@
 package front
 
-import "sync"
+import (
+	"io"
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+var errNoMemory = eris.New("no memory for the body")
 
 // limits counts the requests in progress for each customer and profile.
 type limits struct {
@@ -59,3 +66,20 @@
 	defer b.mu.Unlock()
 	b.used -= n
 }
+
+// countedReader takes memory for what it reads, not for what a header promises.
+type countedReader struct {
+	from   io.Reader
+	budget *bytesBudget
+	taken  int64
+}
+
+// Read fails with errNoMemory when the budget is used up.
+func (c *countedReader) Read(p []byte) (int, error) {
+	n, err := c.from.Read(p)
+	if !c.budget.take(int64(n)) {
+		return 0, errNoMemory
+	}
+	c.taken += int64(n)
+	return n, err
+}
--- /dev/null
+++ b/internal/route/table_test.go
@@ -0,0 +1,164 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/config"
+	"github.com/corianderpier/corianderpier/internal/engine"
+	"github.com/corianderpier/corianderpier/internal/loop"
+	"github.com/corianderpier/corianderpier/internal/member"
+	"github.com/corianderpier/corianderpier/internal/roster"
+	"github.com/corianderpier/corianderpier/pkg/wire"
+)
+
+func testConfig() config.Config {
+	return config.Config{Services: []config.Service{
+		{Name: "models", Kind: config.Engine, Slots: 4, Long: 50_000, Room: 50, Memory: 400_000},
+	}}
+}
+
+// newTable returns a running table with some engines, and its ledger.
+func newTable(t testing.TB, engines int) (*Table, *Ledger) {
+	t.Helper()
+	view := member.View{Members: []member.Member{{Name: "entry-0", Born: 1}}}
+	l := loop.New()
+	policy, _ := PolicyNamed("balanced")
+	table := &Table{Loop: l, Policy: policy, Self: "entry-0", Config: testConfig, View: func() member.View { return view }}
+	table.Start()
+	ledger := &Ledger{Loop: l, Table: table, Config: testConfig, View: func() member.View { return view }}
+	ledger.Held = func(context.Context, string) ([]engine.Holding, error) { return nil, nil }
+	ledger.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = l.Run(ctx) }()
+	go func() { _ = table.Run(ctx) }()
+	go func() { _ = ledger.Run(ctx) }()
+	table.Replace(rosterOf(engines))
+	return table, ledger
+}
+
+func rosterOf(engines int) roster.Roster {
+	var r roster.Roster
+	for i := range engines {
+		r.Targets = append(r.Targets, roster.Target{ID: fmt.Sprintf("engine-%d", i), Service: "models", State: roster.Live})
+	}
+	return r
+}
+
+func request(customer string, left clock.Millis) Request {
+	return Request{ID: "r", Service: "models", Customer: customer, Share: 1, Tokens: 1000, Output: 10, Deadline: clock.Now() + left}
+}
+
+// The slots of a target are never exceeded, and a freed one is used again.
+func TestSlots(t *testing.T) {
+	is := is.New(t)
+	table, _ := newTable(t, 1)
+	var leases []*Lease
+	for range 4 {
+		l, err := table.Acquire(context.Background(), request("a", 2*clock.Second))
+		is.NoErr(err)
+		leases = append(leases, l)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err := table.Acquire(ctx, request("a", 2*clock.Second))
+	is.Equal(ReasonOf(err), wire.ReasonDeadline)
+	leases[0].End(true, false)
+	_, err = table.Acquire(context.Background(), request("a", 2*clock.Second))
+	is.NoErr(err)
+}
+
+// What cannot finish in time is refused at once.
+func TestRefusedAtArrival(t *testing.T) {
+	is := is.New(t)
+	table, _ := newTable(t, 1)
+	r := request("a", clock.Second)
+	r.Output = 1000
+	start := time.Now()
+	_, err := table.Acquire(context.Background(), r)
+	is.Equal(ReasonOf(err), wire.ReasonOverload)
+	is.True(time.Since(start) < 100*time.Millisecond)
+}
+
+// A marked target is not used, whatever the list says later.
+func TestMarkedTarget(t *testing.T) {
+	is := is.New(t)
+	table, _ := newTable(t, 2)
+	table.Loop.Call(func() { table.Mark("engine-0") })
+	table.Replace(rosterOf(2))
+	for range 4 {
+		l, err := table.Acquire(context.Background(), request("a", clock.Second))
+		is.NoErr(err)
+		is.Equal(l.Target.ID, "engine-1")
+	}
+}
+
+// Among waiting customers the tokens served stay in proportion to the shares, whatever the sizes.
+func TestFairShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := newQueue()
+		shares := map[string]int{"a": 1, "b": rapid.IntRange(1, 5).Draw(t, "share")}
+		sizes := map[string]int{"a": rapid.IntRange(100, 5000).Draw(t, "a"), "b": rapid.IntRange(100, 5000).Draw(t, "b")}
+		for name, share := range shares {
+			for range 400 {
+				q.push(&wait{Request: Request{Customer: name, Share: share, Tokens: sizes[name]}})
+			}
+		}
+		served := make(map[string]int)
+		for range 300 {
+			w := q.next(func(*wait) bool { return true })
+			served[w.Customer] += w.Tokens
+			if q.customers["a"].waiting == nil || len(q.customers["a"].waiting) == 0 || len(q.customers["b"].waiting) == 0 {
+				return
+			}
+		}
+		a, b := float64(served["a"]), float64(served["b"])/float64(shares["b"])
+		if diff := a - b; diff > 10_001 || diff < -10_001 {
+			t.Fatalf("served %v with shares %v", served, shares)
+		}
+	})
+}
+
+// A prompt larger than one engine's share is spread, all or nothing, and what can never fit is refused.
+func TestSpreadPrompt(t *testing.T) {
+	is := is.New(t)
+	table, ledger := newTable(t, 4) // 200,000 tokens for long prompts on each
+	table.Loop.Call(func() {})
+	ask := func(id string, tokens int, left clock.Millis) Grant {
+		return ledger.Reserve(context.Background(), Ask{
+			ID: id, Owner: "entry-0/1", Service: "models", Tokens: tokens, Output: 100, Deadline: clock.Now() + left,
+		})
+	}
+	first := ask("first", 500_000, clock.Second)
+	is.Equal(len(first.Parts), 3)
+	total := 0
+	for _, p := range first.Parts {
+		is.True(p.Tokens <= 200_000)
+		total += p.Tokens
+	}
+	is.Equal(total, 500_000)
+	is.Equal(ask("second", 500_000, 200).Reason, wire.ReasonDeadline) // nothing is held while it waits
+	is.Equal(len(ask("third", 200_000, clock.Second).Parts), 1)
+	is.Equal(ask("never", 900_000, clock.Second).Reason, wire.ReasonNeverFits)
+	ledger.Release("models", 0, "first")
+	is.Equal(len(ask("again", 500_000, clock.Second).Parts), 3)
+}
+
+// A grant whose owner is gone lapses.
+func TestGrantOfLostOwner(t *testing.T) {
+	is := is.New(t)
+	_, ledger := newTable(t, 1)
+	ask := Ask{ID: "a", Owner: "entry-9/1", Service: "models", Tokens: 150_000, Output: 100, Deadline: clock.Now() + clock.Minute}
+	is.Equal(len(ledger.Reserve(context.Background(), ask).Parts), 1)
+	ask.ID, ask.Owner, ask.Deadline = "b", "entry-0/1", clock.Now()+5*clock.Second
+	start := time.Now()
+	is.Equal(len(ledger.Reserve(context.Background(), ask).Parts), 1)
+	is.True(time.Since(start) > grantGrace.Duration())
+}
