order, fence: Give engines fenced orders

Cause: nothing brought engines to the model, version or role that the configuration wants, and a paused issuer could have undone a successor's order.

The home of a service records the wanted states under its term before it sends, passes the term as fencing number, confirms right before each send that it is still the writer, and reads the engines back until they are as wanted. For engines that ignore the number a new writer first waits out the life of an order. Loads in progress are limited for the weight store's sake. The settled conditional update is now one package for the operation log and the orders.

Ruled out: a lease for the issuer; an engine that ignores fencing numbers cannot tell a lapsed one.

--- a/cmd/pierfake/main.go
+++ b/cmd/pierfake/main.go
@@ -114,6 +114,8 @@
 	memory := fs.Int("memory", 400_000, "tokens")
 	prefill := fs.Int("prefill", 100_000, "prompt tokens a second")
 	step := fs.Duration("step", 25*time.Millisecond, "between generated tokens")
+	fenced := fs.Bool("fenced", false, "refuse orders with an old fencing number")
+	loading := fs.Duration("loading", 200*time.Millisecond, "of a change of state")
 	batch := fs.Int("batch", 64, "streams that generate at once")
 	return &ffcli.Command{
 		Name: "engine", ShortUsage: "pierfake engine [flags]", ShortHelp: "model engines", FlagSet: fs,
@@ -121,6 +123,7 @@
 			return serve(strings.Split(*listen, ","), func(i int) http.Handler {
 				e := fake.NewEngine(fmt.Sprintf("engine-%d", i))
 				e.Memory, e.Prefill, e.Step, e.Batch = *memory, *prefill, *step, *batch
+				e.Fenced, e.Loading = *fenced, *loading
 				return e
 			})
 		},
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -76,6 +76,14 @@
 	k.between(at+".long", s.Long, 1, maxTokens)
 	k.between(at+".room", s.Room, 1, 100)
 	k.between(at+".memory", s.Memory, 1, 1000*maxTokens)
+	k.between(at+".loads", s.Loads, 1, maxSlots)
+	for i, m := range s.Models {
+		in := fmt.Sprintf("%s.models[%d]", at, i)
+		k.between(in+".engines", m.Engines, 0, maxSlots)
+		if m.Name == "" || m.Version == "" {
+			k.add(in, fmt.Sprintf("%q version %q", m.Name, m.Version), "a name and a version")
+		}
+	}
 }
 
 func (k *checker) profile(at string, p Profile, s Service) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -37,6 +37,17 @@
 	Room   int         `json:"room,omitempty"`   // percent of an engine's memory that long prompts may take
 	Memory int         `json:"memory,omitempty"` // tokens of one engine's memory
 	Fenced bool        `json:"fenced,omitempty"` // the targets check the fencing number of an order
+	Loads  int         `json:"loads,omitempty"`  // engines that may load weights at once
+	Models []Model     `json:"models,omitempty"` // what the engines are to run as; none to give no orders
+}
+
+// Model is a state wanted of some engines of a service.
+type Model struct {
+	Name    string `json:"name"`
+	Version string `json:"version"`
+	Adapter string `json:"adapter,omitempty"`
+	Role    string `json:"role,omitempty"`
+	Engines int    `json:"engines"` // how many are to run it
 }
 
 // Customer is an organisation or member whose requests are counted together.
@@ -79,6 +90,7 @@
 	DefaultLong   = 50_000  // tokens
 	DefaultRoom   = 70      // percent
 	DefaultMemory = 400_000 // tokens
+	DefaultLoads  = 4       // engines
 )
 
 // Parse reads a configuration and returns it with every problem found in it.
@@ -145,6 +157,7 @@
 	setDefault(&s.Long, DefaultLong)
 	setDefault(&s.Room, DefaultRoom)
 	setDefault(&s.Memory, DefaultMemory)
+	setDefault(&s.Loads, DefaultLoads)
 	return s
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -8,6 +8,8 @@
 	PathHeld         = "/v1/held"
 	PathReservations = "/v1/reservations"
 	PathAct          = "/v1/act"
+	PathState        = "/v1/state"
+	PathOrders       = "/v1/orders"
 
 	HeaderAttempt   = "X-Attempt"
 	HeaderKey       = "Idempotency-Key"
@@ -92,3 +94,24 @@
 	Attempt string `json:"attempt"`
 	Body    string `json:"body"`
 }
+
+// State is what an engine runs as.
+type State struct {
+	Model   string `json:"model" cbor:"1,keyasint"`
+	Version string `json:"version" cbor:"2,keyasint"`
+	Adapter string `json:"adapter,omitempty" cbor:"3,keyasint,omitempty"`
+	Role    string `json:"role,omitempty" cbor:"4,keyasint,omitempty"`
+	Loading bool   `json:"loading,omitempty" cbor:"-"` // a change is in progress
+}
+
+// Same reports whether two states are the same but for progress.
+func (s State) Same(other State) bool {
+	s.Loading, other.Loading = false, false
+	return s == other
+}
+
+// Order asks an engine to change its state.
+type Order struct {
+	Fence uint64 `json:"fence"` // an engine that checks it refuses a lower one than it has seen
+	State State  `json:"state"`
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,11 +19,13 @@
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/config"
 	"github.com/corianderpier/corianderpier/internal/feed"
+	"github.com/corianderpier/corianderpier/internal/fence"
 	"github.com/corianderpier/corianderpier/internal/flow"
 	"github.com/corianderpier/corianderpier/internal/front"
 	"github.com/corianderpier/corianderpier/internal/loop"
 	"github.com/corianderpier/corianderpier/internal/member"
 	"github.com/corianderpier/corianderpier/internal/oplog"
+	"github.com/corianderpier/corianderpier/internal/order"
 	"github.com/corianderpier/corianderpier/internal/peer"
 	"github.com/corianderpier/corianderpier/internal/roster"
 	"github.com/corianderpier/corianderpier/internal/route"
@@ -60,6 +62,7 @@
 	ledger   *route.Ledger
 	log      *oplog.Log
 	sweeper  *sweep.Sweeper
+	orders   *order.Writer
 	prompts  *flow.Prompts
 	calls    *flow.Calls
 	front    *front.Front
@@ -107,6 +110,7 @@
 	e.add(&g, e.table.Run)
 	e.add(&g, e.ledger.Run)
 	e.add(&g, e.sweeper.Run)
+	e.add(&g, e.orders.Run)
 	e.add(&g, func(ctx context.Context) error { return e.register(ctx, admin.Addr().String()) })
 	if callers, err = e.secure(&g, callers); err != nil {
 		return err
@@ -174,6 +178,11 @@
 		Held: e.links.Held, Release: e.links.Release, Attached: e.attached,
 	}
 	e.sweeper.Start()
+	e.orders = &order.Writer{
+		Self: owner, Store: fence.Store{Get: e.store.Get, Put: e.store.Put}, Config: e.config, Targets: e.table.Targets,
+		Home: func(key string) bool { return e.group.View().Home(e.self.Name, key, 1) },
+		Read: e.links.State, Send: e.links.Order,
+	}
 	e.prompts = &flow.Prompts{
 		Owner: owner, Table: e.table, Links: e.links, Config: e.config, View: e.group.View,
 		Free: e.sweeper.Free, Reserve: e.reserve, Release: e.release,
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -39,6 +39,8 @@
 	Step    time.Duration // between generated tokens of a stream
 	Batch   int           // streams that generate in one step
 	Lag     time.Duration // of the load report
+	Fenced  bool          // refuses orders with a lower fencing number than it has seen
+	Loading time.Duration // of a change of state
 
 	mu       sync.Mutex
 	streams  map[string]*stream
@@ -51,6 +53,15 @@
 	reported time.Time
 	fault    EngineFault
 	hits     int // requests that met the fault
+	state    engine.State
+	fence    uint64
+	history  []Change
+}
+
+// Change is one order that an engine carried out.
+type Change struct {
+	At    int64        `json:"at_ms"` // milliseconds since the Unix epoch
+	Order engine.Order `json:"order"`
 }
 
 type stream struct {
@@ -128,6 +139,16 @@
 		if json.NewDecoder(r.Body).Decode(&f) == nil {
 			e.SetFault(f)
 		}
+	case r.URL.Path == "/admin/orders":
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(e.history)
+	case r.URL.Path == engine.PathState:
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(e.state)
+	case r.URL.Path == engine.PathOrders:
+		e.obey(w, r)
 	case r.URL.Path == engine.PathCompletions:
 		e.complete(w, r)
 	case strings.HasPrefix(r.URL.Path, engine.PathAttempts):
@@ -320,6 +341,33 @@
 	}
 }
 
+// obey changes the state as ordered, after the time that loading takes.
+func (e *Engine) obey(w http.ResponseWriter, r *http.Request) {
+	var o engine.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.Fenced && o.Fence < e.fence {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	e.fence = max(e.fence, o.Fence)
+	e.history = append(e.history, Change{At: time.Now().UnixMilli(), Order: o})
+	e.state = o.State
+	e.state.Loading = true
+	turn := len(e.history)
+	time.AfterFunc(e.Loading, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if len(e.history) == turn {
+			e.state.Loading = false
+		}
+	})
+}
+
 func (e *Engine) reserve(w http.ResponseWriter, r *http.Request) {
 	var ask engine.Reservation
 	if err := json.NewDecoder(r.Body).Decode(&ask); err != nil {
--- a/internal/flow/call.go
+++ b/internal/flow/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/engine"
@@ -67,6 +68,7 @@
 		if err == nil {
 			return oplog.Result{State: oplog.Done, Outcome: oplog.Outcome{Status: status, Body: body, Target: lease.Target.ID}}
 		}
+		slog.Info("attempt failed", "request", op.Request, "attempt", attempt, "target", lease.Target.ID, "error", err)
 		if !untouched(err) {
 			return oplog.Result{State: oplog.Unknown, Reason: string(wire.ReasonOutcomeLost)}
 		}
--- a/internal/flow/prompt.go
+++ b/internal/flow/prompt.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"log/slog"
 	"strconv"
 	"sync"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
@@ -12,6 +12,7 @@
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/config"
 	"github.com/corianderpier/corianderpier/internal/engine"
+	"github.com/corianderpier/corianderpier/internal/fence"
 	"github.com/corianderpier/corianderpier/internal/member"
 	"github.com/corianderpier/corianderpier/internal/peer"
 	"github.com/corianderpier/corianderpier/internal/route"
@@ -107,6 +108,7 @@
 	if ctx.Err() != nil {
 		return false, r.fail("stream", wire.ReasonDeadline, err)
 	}
+	slog.Info("attempt failed", "request", r.ID, "attempt", id, "target", where.lease.Target.ID, "error", err)
 	countRetry(string(target.KindOf(err)))
 	return false, nil
 }
@@ -159,7 +161,7 @@
 	}
 	lease, err := p.Table.Acquire(ctx, route.Request{
 		ID: id, Service: r.service.Name, Model: r.Profile.Model, Customer: r.Customer.Name, Share: r.Customer.Share,
-		Tokens: r.Tokens, Output: r.Output, Priority: r.Profile.Priority, Deadline: r.Deadline,
+		Tokens: r.Tokens, Output: r.Output, Priority: p.priority(r), Deadline: r.Deadline,
 		Prefix: r.prefix, Exclude: r.exclude, Admitted: r.attempts > 1,
 	})
 	return place{lease: lease, free: func() {}}, err
@@ -184,7 +186,7 @@
 		}
 		p.Release(home, ask)
 		countRetry("reservation")
-		if pause(ctx, placePause) != nil {
+		if fence.Sleep(ctx, placePause) != nil {
 			return place{}, &route.Error{Op: "reserve", Kind: wire.ReasonDeadline}
 		}
 	}
@@ -223,7 +225,7 @@
 				p.Release(home, *a)
 			}
 		}
-		_ = pause(ctx, placePause)
+		_ = fence.Sleep(ctx, placePause)
 	}
 	return member.Member{}, route.Grant{}, &route.Error{Op: "reserve", Kind: wire.ReasonDeadline}
 }
@@ -280,14 +282,3 @@
 	}
 	return &Error{Op: op, Kind: reason, Ran: ran, Err: err}
 }
-
-func pause(ctx context.Context, d clock.Millis) error {
-	timer := time.NewTimer(d.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -86,13 +86,13 @@
 
 // Header is the first line of a table of summaries.
 func Header() string {
-	return "RUN\tCLASS\tOFFERED\tGOOD\tREFUSED\tFAILED\tLATE\tFIRST p50\tp95\tp99\tGAP p95"
+	return "RUN\tCLASS\tOFFERED\tGOOD\tREFUSED\tFAILED\tLATE\tFIRST p50\tp95\tp99\tGAP p95\tREASONS"
 }
 
 // Row formats a summary as a line of the table.
 func (s Summary) Row(name string) string {
-	return fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s", name, s.Class, s.Offered, s.Good, s.Refused, s.Failed, s.Late,
-		s.First50, s.First95, s.First99, s.Gap95)
+	return fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%v", name, s.Class, s.Offered, s.Good, s.Refused, s.Failed, s.Late,
+		s.First50, s.First95, s.First99, s.Gap95, s.Reasons)
 }
 
 // String formats a time for a table.
--- a/internal/oplog/caller.go
+++ b/internal/oplog/caller.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/fence"
 	"github.com/corianderpier/corianderpier/internal/member"
 	"github.com/corianderpier/corianderpier/internal/peer"
 )
@@ -46,7 +47,7 @@
 		if reply, ok := c.try(ctx, s); ok {
 			return reply
 		}
-		_ = sleep(ctx, callerPause)
+		_ = fence.Sleep(ctx, callerPause)
 	}
 	return s.final(Reply{Verdict: VerdictNotRun, Term: 0, Reason: "log_unavailable"})
 }
--- a/internal/oplog/log.go
+++ b/internal/oplog/log.go
@@ -5,12 +5,12 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"golang.org/x/time/rate"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/config"
+	"github.com/corianderpier/corianderpier/internal/fence"
 	"github.com/corianderpier/corianderpier/internal/loop"
 	"github.com/corianderpier/corianderpier/internal/store"
 )
@@ -104,7 +104,7 @@
 // Wait returns once no operation and no settlement is in progress.
 func (l *Log) Wait(ctx context.Context) error {
 	for l.active.Load() > 0 {
-		if err := sleep(ctx, forwardPause/4); err != nil {
+		if err := fence.Sleep(ctx, forwardPause/4); err != nil {
 			return err
 		}
 	}
@@ -140,7 +140,7 @@
 		if err := l.Forward(ctx, s); err == nil {
 			return
 		}
-		if sleep(ctx, forwardPause) != nil {
+		if fence.Sleep(ctx, forwardPause) != nil {
 			counter("settlement_lost").Inc()
 			return
 		}
@@ -149,16 +149,5 @@
 
 func objectName(n int) string { return "oplog/" + strconv.Itoa(n) }
 
-func sleep(ctx context.Context, d clock.Millis) error {
-	timer := time.NewTimer(d.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // HomeKey is the key by whose rank the instances share the shards out.
 func HomeKey(shard int) string { return objectName(shard) }
--- a/internal/oplog/plan.go
+++ b/internal/oplog/plan.go
@@ -6,13 +6,15 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/fence"
 	"github.com/corianderpier/corianderpier/internal/store"
 )
 
 const (
-	pageLimit    = 128 << 10 // estimated bytes, above which finished records move to a segment
-	recordCost   = 160       // bytes of a record without its body
-	segmentShare = 4         // a new segment takes all finished records but one in this many
+	pageLimit    = 128 << 10             // estimated bytes, above which finished records move to a segment
+	recordCost   = 160                   // bytes of a record without its body
+	segmentPause = 200 * clock.Millis(1) // between tries to write a segment
+	segmentShare = 4                     // a new segment takes all finished records but one in this many
 )
 
 // plan is one update of a shard.
@@ -83,11 +85,26 @@
 			return 0, false, err
 		}
 	}
-	value, err := p.page.encode()
+	return l.update(ctx, p.name, p.version, p.page)
+}
+
+// update replaces a version of a shard and returns false when another update came first.
+func (l *Log) update(ctx context.Context, name string, version uint64, p page) (uint64, bool, error) {
+	value, err := p.encode()
+	if err != nil {
+		return 0, false, &Error{Op: "update", Kind: Corrupt, Err: err}
+	}
+	next, err := fence.Store{Get: l.Get, Put: l.Put}.Apply(ctx, fence.Change{
+		Name: name, Version: version, Value: value,
+		Mine: func(stored []byte) bool {
+			found, err := decodePage(stored)
+			return err == nil && found.Token == p.Token
+		},
+	})
 	if err != nil {
-		return 0, false, &Error{Op: "write", Kind: Corrupt, Err: err}
+		return 0, false, &Error{Op: "update", Kind: Unavailable, Err: err}
 	}
-	return l.update(ctx, p.name, p.version, p.page.Token, value)
+	return next, next != 0, nil
 }
 
 // writeSegment creates an immutable object; its name is never used twice.
@@ -101,7 +118,7 @@
 		if err == nil || store.Is(err, store.Conflict) {
 			return nil
 		}
-		if sleep(ctx, maxRetryPause) != nil {
+		if fence.Sleep(ctx, segmentPause) != nil {
 			return &Error{Op: "write segment", Kind: Unavailable, Err: err}
 		}
 	}
--- a/internal/oplog/shard.go
+++ b/internal/oplog/shard.go
@@ -9,15 +9,17 @@
 	"golang.org/x/time/rate"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/fence"
 	"github.com/corianderpier/corianderpier/internal/loop"
 	"github.com/corianderpier/corianderpier/internal/store"
 )
 
 const (
-	openTime     = 5 * clock.Second // for a takeover
-	verdictGrace = 100 * clock.Millis(1)
-	foreignCheck = 200 * clock.Millis(1) // between looks at former writers
-	maxStored    = 64 << 10              // bytes of an outcome's body that the log keeps
+	takeoverPause = 20 * clock.Millis(1) // after another instance came first
+	openTime      = 5 * clock.Second     // for a takeover
+	verdictGrace  = 100 * clock.Millis(1)
+	foreignCheck  = 200 * clock.Millis(1) // between looks at former writers
+	maxStored     = 64 << 10              // bytes of an outcome's body that the log keeps
 )
 
 // shard is the state of one shard on one instance; it belongs to the shard's loop.
@@ -449,17 +451,13 @@
 		}
 		p.Term++
 		p.Writer, p.Token = l.Self, l.token()
-		value, err := p.encode()
-		if err != nil {
-			return takeover{}, &Error{Op: "take over", Kind: Corrupt, Err: err}
-		}
-		version, won, err := l.update(ctx, name, found.Version, p.Token, value)
+		version, won, err := l.update(ctx, name, found.Version, p)
 		if err != nil {
 			return takeover{}, err
 		}
 		if !won {
 			counter("takeover_lost").Inc()
-			if sleep(ctx, retryPause) != nil {
+			if fence.Sleep(ctx, takeoverPause) != nil {
 				return takeover{}, &Error{Op: "take over", Kind: Unavailable, Err: ctx.Err()}
 			}
 			continue
--- /dev/null
+++ b/internal/proof/order_test.go
@@ -0,0 +1,97 @@
+package proof
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/corianderpier/corianderpier/internal/config"
+	"github.com/corianderpier/corianderpier/internal/engine"
+	"github.com/corianderpier/corianderpier/internal/order"
+	"github.com/corianderpier/corianderpier/internal/stage"
+)
+
+// versions returns the configuration in which all engines are to run a version.
+func versions(version string, engines int, fenced bool) config.Config {
+	c := siteConfig()
+	c.Services[0].Fenced = fenced
+	c.Services[0].Models = []config.Model{{Name: "small", Version: version, Engines: engines}}
+	return c
+}
+
+func stateOf(t *testing.T, addr string) engine.State {
+	t.Helper()
+	resp, err := http.Get("http://" + addr + engine.PathState)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var state engine.State
+	if err := json.NewDecoder(resp.Body).Decode(&state); err != nil {
+		t.Fatal(err)
+	}
+	return state
+}
+
+// allRun reports whether all engines have loaded a version.
+func allRun(t *testing.T, site *stage.Site, version string) bool {
+	t.Helper()
+	for _, target := range site.Targets {
+		if state := stateOf(t, site.Real(target)); state.Version != version || state.Loading {
+			return false
+		}
+	}
+	return true
+}
+
+// The issuer of orders is frozen, the configuration changes, another instance takes over, and the first one wakes:
+// no engine stays in a state that the configuration does not want, whether it checks fencing numbers or not.
+func TestOrdersAfterTakeover(t *testing.T) {
+	for name, fenced := range map[string]bool{"fenced": true, "unfenced": false} {
+		t.Run(name, func(t *testing.T) {
+			args := []string{"-loading", "100ms"}
+			if fenced {
+				args = append(args, "-fenced")
+			}
+			site := stage.Start(t, stage.Spec{Entries: 3, Engines: 3, EngineArgs: args, Config: versions("v1", 3, fenced)})
+			limit := order.Bound.Duration()
+			stage.Eventually(t, limit, "all engines run v1", func() bool { return allRun(t, site, "v1") })
+			site.PutConfig(versions("v2", 3, fenced))
+			time.Sleep(300 * time.Millisecond) // in the middle of the orders
+			issuer := issuerOf(t, site)
+			issuer.Freeze()
+			site.PutConfig(versions("v3", 3, fenced))
+			stage.Eventually(t, detectLimit+limit, "all engines run v3", func() bool { return allRun(t, site, "v3") })
+			issuer.Resume()
+			stray := time.Time{}
+			for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				switch {
+				case allRun(t, site, "v3"):
+					stray = time.Time{}
+				case stray.IsZero():
+					stray = time.Now()
+				case time.Since(stray) > limit:
+					t.Fatal("an engine stays in a state that is not wanted")
+				}
+			}
+			stage.Eventually(t, limit, "all engines run v3 at the end", func() bool { return allRun(t, site, "v3") })
+		})
+	}
+}
+
+// issuerOf returns the instance that has sent most orders.
+func issuerOf(t *testing.T, site *stage.Site) *stage.Process {
+	t.Helper()
+	var issuer *stage.Process
+	most := 0.0
+	for _, e := range site.Entries {
+		if sent := e.Metric(`pier_order_events_total{event="sent"}`); sent > most {
+			issuer, most = e, sent
+		}
+	}
+	if issuer == nil {
+		t.Fatal("no instance has sent an order")
+	}
+	return issuer
+}
--- a/internal/route/long.go
+++ b/internal/route/long.go
@@ -277,7 +277,7 @@
 		if running[a.ID] != running[b.ID] {
 			return running[a.ID] < running[b.ID]
 		}
-		return a.delay(now, 0) < b.delay(now, 0)
+		return a.delay(now) < b.delay(now)
 	})
 	for _, n := range engines {
 		if room[n.ID] >= a.Tokens && running[n.ID] < maxBacklog {
--- a/internal/route/node.go
+++ b/internal/route/node.go
@@ -7,10 +7,12 @@
 )
 
 const (
+	maxPriority   = 15
 	ejectAfter    = 3            // failures in a row
 	ejectTime     = clock.Second // doubled with each further failure
 	maxEjectTime  = 30 * clock.Second
 	slowStartTime = 5 * clock.Second // for which a new target gets a growing share
+	reportTime    = clock.Second / 2 // for which a report stands as it is
 	reportDecay   = 2 * clock.Second // after which a report of others' streams no longer counts
 )
 
@@ -22,7 +24,8 @@
 	ownThen  int // own requests when the report came
 	backThen int // own unprocessed prompt tokens when the report came
 	own      map[*Lease]bool
-	backlog  int // own unprocessed prompt tokens
+	backlog  int                  // own unprocessed prompt tokens
+	ranked   [maxPriority + 1]int // the same, by priority
 	leaving  bool
 	failures int
 	ejected  clock.Millis // until
@@ -66,14 +69,36 @@
 	return len(n.own) + others
 }
 
-// delay estimates how long a prompt waits for the prompts before it and its own processing.
-func (n *node) delay(now clock.Millis, tokens int) clock.Millis {
-	rate := max(n.report.Prefill, defaultPrefill)
-	done := int(now-n.reported) * rate / 1000
-	others := max(0, n.report.Backlog-n.backThen-done)
-	return clock.Millis((n.backlog + others + tokens) * 1000 / rate)
+// others estimates the unprocessed prompt tokens of other instances.
+func (n *node) others(now clock.Millis) int {
+	idle := max(0, now-n.reported-reportTime) // for which no report came, so that it is taken to be processed
+	done := int(idle) * n.rate() / 1000
+	return max(0, n.report.Backlog-n.backThen-done)
 }
 
+func (n *node) rate() int {
+	if n.report.Prefill > 0 {
+		return n.report.Prefill
+	}
+	return defaultPrefill
+}
+
+// delay estimates how long the prompts take that the target has not processed.
+func (n *node) delay(now clock.Millis) clock.Millis {
+	return clock.Millis((n.backlog + n.others(now)) * 1000 / n.rate())
+}
+
+// ahead returns the own unprocessed prompt tokens of at least a priority.
+func (n *node) ahead(priority int) int {
+	tokens := 0
+	for _, t := range n.ranked[rank(priority):] {
+		tokens += t
+	}
+	return tokens
+}
+
+func rank(priority int) int { return min(max(priority, 0), maxPriority) }
+
 // room estimates the free memory in tokens.
 func (n *node) room(memory int) int {
 	if n.report.Memory > 0 {
--- a/internal/route/policy.go
+++ b/internal/route/policy.go
@@ -58,11 +58,11 @@
 	rand.Shuffle(len(free), func(i, j int) { free[i], free[j] = free[j], free[i] })
 	best := free[0]
 	for _, n := range free[1:min(choices, len(free))] {
-		if n.delay(now, 0) < best.delay(now, 0) || (n.delay(now, 0) == best.delay(now, 0) && n.requests(now) < best.requests(now)) {
+		if n.delay(now) < best.delay(now) || (n.delay(now) == best.delay(now) && n.requests(now) < best.requests(now)) {
 			best = n
 		}
 	}
-	if affine != nil && affine.delay(now, 0) <= best.delay(now, 0)+affineLead && t.hasSlot(now, s, affine, r) {
+	if affine != nil && affine.delay(now) <= best.delay(now)+affineLead && t.hasSlot(now, s, affine, r) {
 		return affine
 	}
 	return best
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -50,6 +50,7 @@
 	table  *Table
 	node   *node
 	tokens int
+	rank   int // of its priority
 	first  bool
 	ended  bool
 }
@@ -175,6 +176,7 @@
 	}
 	l.first = true
 	l.node.backlog -= l.tokens
+	l.node.ranked[l.rank] -= l.tokens
 	l.node.busy = false
 }
 
@@ -329,7 +331,29 @@
 	if len(candidates) == 0 {
 		return nil, ""
 	}
-	return t.Policy.Pick(t, now, service, w.Request, candidates), ""
+	n := t.Policy.Pick(t, now, service, w.Request, candidates)
+	if n != nil && t.Policy.Admit && !w.Admitted && now+t.processing(now, n, w.Request)+generation(w.Request) > w.Deadline {
+		count("shed_by_backlog")
+		return nil, wire.ReasonOverload
+	}
+	return n, ""
+}
+
+// processing predicts how long the engine takes until it has processed a prompt, if it puts higher priorities first and
+// other instances send the mix of priorities that this one sends.
+func (t *Table) processing(now clock.Millis, n *node, r Request) clock.Millis {
+	ahead, all := 0, 0
+	for _, other := range t.nodes {
+		if other.Service == n.Service {
+			ahead += other.ahead(r.Priority)
+			all += other.backlog
+		}
+	}
+	others := n.others(now)
+	if all > 0 {
+		others = int(float64(others) * float64(ahead) / float64(all))
+	}
+	return clock.Millis((n.ahead(r.Priority) + others + r.Tokens) * 1000 / n.rate())
 }
 
 // offers reports whether any target takes this kind of work at all.
@@ -348,9 +372,10 @@
 }
 
 func (t *Table) lease(n *node, r Request) *Lease {
-	l := &Lease{Target: n.Target, table: t, node: n, tokens: r.Tokens}
+	l := &Lease{Target: n.Target, table: t, node: n, tokens: r.Tokens, rank: rank(r.Priority)}
 	n.own[l] = true
 	n.backlog += r.Tokens
+	n.ranked[l.rank] += r.Tokens
 	return l
 }
 
@@ -411,9 +436,11 @@
 
 // runTime predicts how long a request takes once it has started, on an idle engine.
 func runTime(r Request) clock.Millis {
-	return clock.Millis(r.Tokens*1000/(2*defaultPrefill)) + clock.Millis(r.Output)*tokenTime
+	return clock.Millis(r.Tokens*1000/(2*defaultPrefill)) + generation(r)
 }
 
+func generation(r Request) clock.Millis { return clock.Millis(r.Output) * tokenTime }
+
 func count(event string) {
 	metrics.GetOrCreateCounter(`pier_route_events_total{event="` + event + `"}`).Inc()
 }
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -115,7 +115,7 @@
 		for range 300 {
 			w := q.next(func(*wait) bool { return true })
 			served[w.Customer] += w.Tokens
-			if q.customers["a"].waiting == nil || len(q.customers["a"].waiting) == 0 || len(q.customers["b"].waiting) == 0 {
+			if len(q.customers["a"].waiting) == 0 || len(q.customers["b"].waiting) == 0 {
 				return
 			}
 		}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -169,6 +169,21 @@
 	return l.simple(ctx, http.MethodPost, addr, engine.PathReservations, ask, nil)
 }
 
+// State reads what an engine runs as.
+func (l *Links) State(ctx context.Context, addr string) (engine.State, error) {
+	var state engine.State
+	return state, l.simple(ctx, http.MethodGet, addr, engine.PathState, nil, &state)
+}
+
+// Order asks an engine to change its state, on a connection of its own.
+func (l *Links) Order(ctx context.Context, addr string, o engine.Order) error {
+	resp, err := l.post(ctx, l.streams, addr, engine.PathOrders, o)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
 func (l *Links) simple(ctx context.Context, method, addr, path string, body, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTime.Duration())
 	defer cancel()
