pierload: Measure a load from the command line, with JSON and a plot

pierload run sends planned arrivals to any entry instances and writes a table, a report and the distribution of the time to first token as SVG.

Ruled out: a plot of our own; the library draws SVG without further programs.

Before: none. After: the same flags give the same arrivals (TestPlanIsRepeatable).

Conclusion: users can measure their own sites with their own seeds.

--- a/cmd/pierload/main.go
+++ b/cmd/pierload/main.go
@@ -20,7 +20,7 @@
 	root := &ffcli.Command{
 		Name:        "pierload",
 		ShortUsage:  "pierload <command> [flags]",
-		Subcommands: []*ffcli.Command{publishCommand(), demoCommand()},
+		Subcommands: []*ffcli.Command{publishCommand(), demoCommand(), runCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.ParseAndRun(context.Background(), os.Args[1:])
--- /dev/null
+++ b/cmd/pierload/run.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/corianderpier/corianderpier/internal/load"
+)
+
+const runHelp = `Arrivals are drawn from the seed before the run; the same flags give the same
+arrivals. Customers are named customer-0, customer-1 and so on, profiles are
+given for each class.
+
+Example:
+  pierload run -entries 127.0.0.1:7070 -tokens 500000 -length 30s -json out.json -svg out.svg`
+
+// runFlags are the flags of a measured load.
+type runFlags struct {
+	entries, short, medium, long, report, plot string
+	shape                                      load.Shape
+	deadline                                   time.Duration
+	warmup                                     time.Duration
+}
+
+// output is what a run writes as JSON.
+type output struct {
+	Seed     uint64         `json:"seed"`
+	Arrivals int            `json:"arrivals"`
+	Classes  []load.Summary `json:"classes"`
+}
+
+func runCommand() *ffcli.Command {
+	var f runFlags
+	fs := flag.NewFlagSet("run", flag.ContinueOnError)
+	fs.StringVar(&f.entries, "entries", "127.0.0.1:7070", "addresses of entry instances, comma-separated")
+	fs.StringVar(&f.short, "short", "short", "profile of prompts up to 8,000 tokens")
+	fs.StringVar(&f.medium, "medium", "medium", "profile of prompts up to 100,000 tokens")
+	fs.StringVar(&f.long, "long", "long", "profile of longer prompts")
+	fs.StringVar(&f.report, "json", "", "file for the report")
+	fs.StringVar(&f.plot, "svg", "", "file for the distribution of the time to first token")
+	fs.Uint64Var(&f.shape.Seed, "seed", 1, "of the arrivals")
+	fs.DurationVar(&f.shape.Length, "length", 30*time.Second, "of the run")
+	fs.Float64Var(&f.shape.Tokens, "tokens", 100_000, "prompt tokens a second")
+	fs.IntVar(&f.shape.Customers, "customers", 10, "number of customers")
+	fs.IntVar(&f.shape.Output, "output", 40, "tokens to generate for each prompt")
+	fs.DurationVar(&f.deadline, "deadline", 15*time.Second, "by which an answer counts as in time")
+	fs.DurationVar(&f.warmup, "warmup", 0, "whose arrivals are not counted")
+	return &ffcli.Command{
+		Name: "run", ShortUsage: "pierload run [flags]", ShortHelp: "sends an open-loop load and reports what callers see",
+		LongHelp: runHelp, FlagSet: fs,
+		Exec: func(ctx context.Context, _ []string) error { return run(ctx, f) },
+	}
+}
+
+func run(ctx context.Context, f runFlags) error {
+	if f.shape.Customers < 1 || f.shape.Tokens <= 0 || f.shape.Output < 1 {
+		return errors.New("-customers, -tokens and -output must be above zero")
+	}
+	plan := load.Plan(f.shape)
+	profiles := map[load.Class]string{load.Short: f.short, load.Medium: f.medium, load.Long: f.long}
+	runner := &load.Runner{
+		Entries: strings.Split(f.entries, ","), Warmup: f.warmup,
+		Profile: func(c load.Class) string { return profiles[c] },
+	}
+	results := runner.Run(ctx, plan)
+	classes := load.Summarise(results, func(load.Class) time.Duration { return f.deadline })
+	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, load.Header())
+	for _, s := range classes {
+		_, _ = fmt.Fprintln(table, s.Row("run"))
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	if err := writeReport(f.report, output{Seed: f.shape.Seed, Arrivals: len(plan), Classes: classes}); err != nil {
+		return err
+	}
+	return writePlot(f.plot, fmt.Sprintf("%.0f prompt tokens a second, seed %d", f.shape.Tokens, f.shape.Seed), results)
+}
+
+func writeReport(path string, report output) error {
+	if path == "" {
+		return nil
+	}
+	data, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, data, 0o644)
+}
+
+func writePlot(path, title string, results []load.Result) error {
+	if path == "" {
+		return nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := load.Plot(file, title, results); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
+}
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -75,7 +75,7 @@
 		if when >= s.Length {
 			break
 		}
-		a := draw(random, s, when)
+		a := arrival(random, s, when)
 		thinned := random.Float64() >= s.factor(when)/s.peak()
 		if thinned || (s.NoLong && a.Class == Long) {
 			continue
@@ -102,7 +102,7 @@
 	return high
 }
 
-func draw(random *rand.Rand, s Shape, at time.Duration) Arrival {
+func arrival(random *rand.Rand, s Shape, at time.Duration) Arrival {
 	a := Arrival{At: at, Output: s.Output}
 	dice := random.Float64()
 	for _, b := range bands {
--- /dev/null
+++ b/internal/load/plan_test.go
@@ -0,0 +1,62 @@
+package load
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/corianderpier/corianderpier/pkg/wire"
+)
+
+func shape() Shape {
+	return Shape{Seed: 5, Length: 100 * time.Second, Tokens: 1_000_000, Customers: 10, Output: 40}
+}
+
+// The same shape gives the same arrivals, another seed others.
+func TestPlanIsRepeatable(t *testing.T) {
+	is := is.New(t)
+	first, second := Plan(shape()), Plan(shape())
+	is.Equal(first, second)
+	other := shape()
+	other.Seed = 6
+	is.True(len(Plan(other)) != len(first) || Plan(other)[0] != first[0])
+}
+
+// One prompt in fifty is long, the load is what was asked for, and without long prompts the others stay.
+func TestPlanMeetsShape(t *testing.T) {
+	is := is.New(t)
+	plan := Plan(shape())
+	tokens, long := 0, 0
+	for _, a := range plan {
+		tokens += a.Tokens
+		if a.Class == Long {
+			long++
+			is.True(a.Tokens >= 100_000 && a.Tokens <= 1_000_000)
+		}
+	}
+	share := float64(long) / float64(len(plan))
+	is.True(share > 0.015 && share < 0.025)
+	perSecond := float64(tokens) / 100
+	is.True(perSecond > 900_000 && perSecond < 1_100_000)
+	without := shape()
+	without.NoLong = true
+	is.Equal(len(Plan(without)), len(plan)-long)
+}
+
+// A report counts each request once, and a plot has a line for each class with answers.
+func TestReport(t *testing.T) {
+	is := is.New(t)
+	results := []Result{
+		{Arrival: Arrival{Class: Short, Tokens: 10}, First: time.Second, Whole: 2 * time.Second},
+		{Arrival: Arrival{Class: Short}, Whole: 9 * time.Second, Reason: wire.ReasonDeadline, Ran: wire.RanUnknown},
+		{Arrival: Arrival{Class: Short}, Reason: wire.ReasonOverload, Ran: wire.RanNo},
+	}
+	s := Summarise(results, func(Class) time.Duration { return 5 * time.Second })[0]
+	is.Equal([]int{s.Offered, s.Good, s.Refused, s.Failed, s.Late, s.GoodWork}, []int{3, 1, 1, 1, 1, 10})
+	var svg strings.Builder
+	is.NoErr(Plot(&svg, "title", results))
+	is.True(strings.Contains(svg.String(), "<svg"))
+	is.True(strings.Contains(svg.String(), "short (1)"))
+}
