--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -59,6 +59,7 @@
 	Running int  `json:"running"` // requests with memory
 	Backlog int  `json:"backlog"` // prompt tokens not yet processed
 	Used    int  `json:"used"`    // tokens of memory owned by streams and reservations
+	Wanted  int  `json:"wanted"`  // tokens of memory that waiting requests need
 	Memory  int  `json:"memory"`  // tokens of memory in all
 	Prefill int  `json:"prefill"` // prompt tokens a second
 	Leaving bool `json:"leaving,omitempty"`
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -400,6 +400,7 @@
 			report.Running++
 		} else {
 			report.Waiting++
+			report.Wanted += s.need
 		}
 		report.Backlog += max(s.left, 0)
 	}
--- a/internal/flow/prompt.go
+++ b/internal/flow/prompt.go
@@ -22,13 +22,12 @@
 )
 
 const (
-	stall        = 1500 * clock.Millis(1) // without a byte from an engine
-	maxResumes   = 2                      // of one attempt, on new connections
-	prefixBytes  = 4096                   // of a prompt, for cache affinity
-	retryRate    = 20                     // retries a second for each service
-	retryBurst   = 50
-	placePause   = 50 * clock.Millis(1)
-	longPriority = 0
+	stall       = 1500 * clock.Millis(1) // without a byte from an engine
+	maxResumes  = 2                      // of one attempt, on new connections
+	prefixBytes = 4096                   // of a prompt, for cache affinity
+	retryRate   = 20                     // retries a second for each service
+	retryBurst  = 50
+	placePause  = 50 * clock.Millis(1)
 )
 
 // Prompts runs prompts on model engines.
@@ -141,14 +140,10 @@
 }
 
 func (p *Prompts) priority(r *run) int {
-	switch {
-	case !p.Table.Policy.Priorities:
+	if !p.Table.Policy.Priorities {
 		return 0
-	case r.Tokens > r.service.Long:
-		return longPriority
-	default:
-		return 1 + r.Profile.Priority
 	}
+	return 1 + r.Profile.Priority
 }
 
 // place finds memory and a slot for an attempt.
@@ -175,7 +170,7 @@
 		if err != nil {
 			return place{}, err
 		}
-		where, ok := p.bind(ctx, id, grant)
+		where, ok := p.bind(ctx, id, grant, p.priority(r))
 		if ok {
 			free := where.free
 			where.free = func() {
@@ -196,6 +191,7 @@
 	a := route.Ask{
 		ID: id, Owner: p.Owner, Service: r.service.Name, Model: r.Profile.Model, Customer: r.Customer.Name,
 		Share: r.Customer.Share, Tokens: r.Tokens + r.Output, Output: r.Output, Deadline: r.Deadline,
+		Priority: p.priority(r), Admitted: r.attempts > 1,
 	}
 	for target := range r.exclude {
 		a.Exclude = append(a.Exclude, target)
@@ -231,9 +227,9 @@
 }
 
 // bind reserves the granted memory on all engines but the first, all or nothing.
-func (p *Prompts) bind(ctx context.Context, id string, grant route.Grant) (place, bool) {
+func (p *Prompts) bind(ctx context.Context, id string, grant route.Grant, priority int) (place, bool) {
 	first := grant.Parts[0]
-	lease, ok := p.Table.Bind(first.Target, first.Tokens)
+	lease, ok := p.Table.Bind(first.Target, route.Request{Tokens: first.Tokens, Priority: priority})
 	if !ok {
 		return place{}, false
 	}
--- /dev/null
+++ b/internal/proof/random_test.go
@@ -0,0 +1,129 @@
+package proof
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/corianderpier/corianderpier/internal/fake"
+	"github.com/corianderpier/corianderpier/internal/stage"
+)
+
+// Two faults at once, drawn by a seed, on prompts of all lengths: each answer is the caller's own and whole, or a failure in
+// time, and afterwards no engine holds memory.
+func TestRandomFaultsOnReads(t *testing.T) {
+	seed, length := uint64(13), 60*time.Second
+	if testing.Short() {
+		length = 12 * time.Second
+	}
+	site := stage.Start(t, stage.Spec{Entries: 4, Engines: 5, Config: siteConfig()})
+	ctx := testContext(t, 5*time.Minute)
+	random := rand.New(rand.NewPCG(seed, seed))
+	var short, long tally
+	var group sync.WaitGroup
+	var stop atomic.Bool
+	for i := range 8 {
+		group.Go(func() {
+			for n := 0; !stop.Load(); n++ {
+				client := site.Direct(site.Entries[(i+n)%4], "importer")
+				client.Tries = 1
+				name := fmt.Sprintf("random-%d-%d", i, n)
+				if i%4 == 0 {
+					long.add(read(ctx, client, "record", name, []int{80_000, 500_000}[n%2], 60))
+				} else {
+					short.add(read(ctx, client, "status", name, 3000, 30))
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		first, second := drawReadFault(random, site), drawReadFault(random, site)
+		undoFirst, undoSecond := first(), second()
+		time.Sleep(time.Duration(500+random.IntN(4500)) * time.Millisecond)
+		undoFirst()
+		undoSecond()
+		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+	}
+	stop.Store(true)
+	group.Wait()
+	t.Log("short: ", short.summary())
+	t.Log("long: ", long.summary())
+	short.checkOwn(t)
+	long.checkOwn(t)
+	short.checkTimes(t, statusDeadline)
+	long.checkTimes(t, recordDeadline)
+	heldByOwners(t, site)
+}
+
+// checkOwn fails the test if a caller has an answer that is not its own and whole.
+func (t *tally) checkOwn(tb testing.TB) {
+	tb.Helper()
+	for _, o := range t.all {
+		if o.err == nil && !o.whole {
+			tb.Errorf("%s: the answer is not its own", o.key)
+		}
+	}
+}
+
+// drawReadFault returns a fault that is applied when called and returns how to end it.
+func drawReadFault(random *rand.Rand, site *stage.Site) func() func() {
+	entry := site.Entries[random.IntN(4)]
+	target := site.Real(site.Targets[random.IntN(len(site.Targets))])
+	engineFault := func(f fake.EngineFault) func() func() {
+		return func() func() {
+			site.Fault(target, f)
+			return func() { site.Fault(target, fake.EngineFault{}) }
+		}
+	}
+	faults := []func() func(){
+		func() func() { entry.Freeze(); return entry.Resume },
+		func() func() {
+			site.Fault(site.Store, storeFault{Refuse: true})
+			return func() { site.Fault(site.Store, storeFault{}) }
+		},
+		engineFault(fake.EngineFault{Cross: true}),
+		engineFault(fake.EngineFault{Cut: 2}),
+		engineFault(fake.EngineFault{Shorten: true}),
+		engineFault(fake.EngineFault{Repeat: true}),
+		engineFault(fake.EngineFault{Silent: 2}),
+	}
+	return faults[random.IntN(len(faults))]
+}
+
+// All instances of an availability zone are killed under load: callers are served by the others in time, and no memory is lost.
+func TestZoneKilled(t *testing.T) {
+	site := stage.Start(t, stage.Spec{
+		Entries: 6, Engines: 4, Plains: 1, Config: siteConfig(), Zones: []string{"zone-a", "zone-b", "zone-c"},
+	})
+	ctx := testContext(t, time.Minute)
+	var bookings, reads tally
+	var group sync.WaitGroup
+	for i := range 12 {
+		caller := site.Caller("importer")
+		group.Go(func() {
+			for n := range 12 {
+				reads.add(read(ctx, caller, "status", fmt.Sprintf("zone-%d-%d", i, n), 2000, 20))
+				bookings.add(book(ctx, caller, fmt.Sprintf("zone-%d-%d", i, n)))
+			}
+		})
+	}
+	time.Sleep(1500 * time.Millisecond)
+	for i, e := range site.Entries {
+		if i%3 == 0 {
+			e.Kill()
+		}
+	}
+	group.Wait()
+	t.Log("bookings: ", bookings.summary())
+	t.Log("reads: ", reads.summary())
+	reads.checkWhole(t)
+	// A caller that loses its instance starts again elsewhere, with a deadline of its own.
+	reads.checkTimes(t, 2*statusDeadline)
+	bookings.checkTimes(t, 2*statusDeadline)
+	bookings.checkBookings(t, site)
+	heldByOwners(t, site)
+}
--- a/internal/route/long.go
+++ b/internal/route/long.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sort"
 	"strconv"
 	"time"
@@ -18,11 +19,13 @@
 )
 
 const (
-	cellSize     = 24 // engines that share a home, about
-	backfillTime = 2 * clock.Second
-	ledgerPeriod = 500 * clock.Millis(1)
-	grantGrace   = 2 * clock.Second // after a grant's deadline, or its owner's death, until it lapses
-	maxBacklog   = 2                // grants of unprocessed prompts on one engine
+	cellSize       = 24 // engines that share a home, about
+	backfillTime   = 2 * clock.Second
+	ledgerPeriod   = 500 * clock.Millis(1)
+	grantGrace     = 2 * clock.Second  // after a grant's deadline, or its owner's death, until it lapses
+	completeWindow = 10 * clock.Second // over which the rate of completion is smoothed
+	minGrants      = 8                 // in progress, for that rate to be a measure of what the engines can do
+	maxBacklog     = 2                 // grants of unprocessed prompts on one engine
 )
 
 // Ask requests memory for a long prompt at the home of a cell.
@@ -38,6 +41,8 @@
 	Output   int          `cbor:"9,keyasint"`
 	Deadline clock.Millis `cbor:"10,keyasint"`
 	Exclude  []string     `cbor:"11,keyasint,omitempty"`
+	Priority int          `cbor:"12,keyasint"`
+	Admitted bool         `cbor:"13,keyasint"` // a further attempt of a request that is not to be shed any more
 }
 
 // Part is memory on one engine.
@@ -74,6 +79,8 @@
 	inherited map[string]int // tokens by engine, held for grants of a former home
 	ready     bool           // the inherited memory is known
 	loading   bool
+	completed float64 // tokens of completed grants, decaying over the window
+	decayed   clock.Millis
 }
 
 type pending struct {
@@ -84,6 +91,8 @@
 
 type granted struct {
 	Grant
+	tokens   int
+	priority int
 	owner    string
 	deadline clock.Millis
 	orphaned clock.Millis // since when the owner is gone; zero if it is not
@@ -117,7 +126,7 @@
 func (l *Ledger) Reserve(ctx context.Context, a Ask) Grant {
 	p := &pending{ask: a, done: make(chan Grant, 1)}
 	p.wait = &wait{
-		Request: Request{ID: a.ID, Customer: a.Customer, Share: a.Share, Tokens: a.Tokens, Deadline: a.Deadline},
+		Request: Request{ID: a.ID, Customer: a.Customer, Share: a.Share, Tokens: a.Tokens, Priority: a.Priority, Deadline: a.Deadline},
 		since:   clock.Now(), due: a.Deadline,
 	}
 	l.Loop.Post(func() { l.ask(ctx, p) })
@@ -145,7 +154,10 @@
 			p.wait.gone = true
 			delete(c.asks, id)
 		}
-		delete(c.grants, id)
+		if g := c.grants[id]; g != nil {
+			c.complete(clock.Now(), g.tokens)
+			delete(c.grants, id)
+		}
 		l.pump(c)
 	})
 }
@@ -164,6 +176,12 @@
 		p.done <- Grant{ID: p.ask.ID, Reason: wire.ReasonNeverFits}
 		return
 	}
+	now := clock.Now()
+	if !p.ask.Admitted && now+c.processing(now, p.ask)+clock.Millis(p.ask.Output)*tokenTime > p.ask.Deadline {
+		count("shed_at_ledger")
+		p.done <- Grant{ID: p.ask.ID, Reason: wire.ReasonOverload}
+		return
+	}
 	c.asks[p.ask.ID] = p
 	c.queue.push(p.wait)
 	if !c.ready {
@@ -173,6 +191,39 @@
 	l.pump(c)
 }
 
+// complete counts the work of a grant that was given back.
+func (c *cell) complete(now clock.Millis, tokens int) {
+	c.decay(now)
+	c.completed += float64(tokens)
+}
+
+func (c *cell) decay(now clock.Millis) {
+	c.completed *= math.Exp(-float64(now-c.decayed) / float64(completeWindow))
+	c.decayed = now
+}
+
+// processing predicts how long a prompt takes until it is processed, from the rate at which grants complete and the
+// work that goes before it. Without completions to judge by it predicts nothing.
+func (c *cell) processing(now clock.Millis, a Ask) clock.Millis {
+	c.decay(now)
+	if len(c.grants) < minGrants || c.completed <= 0 {
+		return 0
+	}
+	ahead := a.Tokens
+	for _, g := range c.grants {
+		if g.priority >= a.Priority {
+			ahead += g.tokens
+		}
+	}
+	for _, p := range c.asks {
+		if p.ask.Priority >= a.Priority && p.ask.Deadline <= a.Deadline {
+			ahead += p.ask.Tokens
+		}
+	}
+	perMilli := c.completed / float64(completeWindow)
+	return clock.Millis(float64(ahead) / perMilli)
+}
+
 // load learns from the engines what former homes have granted.
 func (l *Ledger) load(c *cell) {
 	if c.loading {
@@ -251,7 +302,7 @@
 		}
 		delete(c.asks, w.ID)
 		grant := Grant{ID: w.ID, Parts: parts}
-		c.grants[w.ID] = &granted{Grant: grant, owner: p.ask.Owner, deadline: p.ask.Deadline}
+		c.grants[w.ID] = &granted{Grant: grant, tokens: p.ask.Tokens, priority: p.ask.Priority, owner: p.ask.Owner, deadline: p.ask.Deadline}
 		p.done <- grant
 	}
 }
@@ -357,11 +408,11 @@
 func cellKey(service string, index int) string { return "cell/" + service + "/" + strconv.Itoa(index) }
 
 // Bind returns a lease on a target that a ledger has chosen, without waiting.
-func (t *Table) Bind(target string, tokens int) (*Lease, bool) {
+func (t *Table) Bind(target string, r Request) (*Lease, bool) {
 	var l *Lease
 	t.Loop.Call(func() {
 		if n := t.nodes[target]; n != nil && !n.leaving && n.State == roster.Live {
-			l = t.lease(n, Request{Tokens: tokens})
+			l = t.lease(n, r)
 		}
 	})
 	return l, l != nil
--- a/internal/route/node.go
+++ b/internal/route/node.go
@@ -24,6 +24,8 @@
 	ownThen  int // own requests when the report came
 	backThen int // own unprocessed prompt tokens when the report came
 	own      map[*Lease]bool
+	held     int                  // tokens of memory of own requests
+	heldThen int                  // the same when the report came
 	backlog  int                  // own unprocessed prompt tokens
 	ranked   [maxPriority + 1]int // the same, by priority
 	leaving  bool
@@ -99,13 +101,12 @@
 
 func rank(priority int) int { return min(max(priority, 0), maxPriority) }
 
-// room estimates the free memory in tokens.
+// room estimates the memory in tokens that nobody uses or waits for.
 func (n *node) room(memory int) int {
 	if n.report.Memory > 0 {
 		memory = n.report.Memory
 	}
-	used := max(0, n.report.Used)
-	return memory - used
+	return memory - n.report.Used - n.report.Wanted - max(0, n.held-n.heldThen)
 }
 
 func (n *node) failed(now clock.Millis) {
--- a/internal/route/policy.go
+++ b/internal/route/policy.go
@@ -72,7 +72,7 @@
 func (t *Table) hasSlot(now clock.Millis, s config.Service, n *node, r Request) bool {
 	slots := n.slots(now, s.Slots)
 	users := max(1, len(t.View().Live()))
-	if s.Kind == config.Engine && n.room(s.Memory) < r.Tokens+r.Output && len(n.own) > 0 {
+	if s.Kind == config.Engine && n.room(s.Memory) < r.Tokens+r.Output && n.requests(now) > 0 {
 		return false
 	}
 	if len(n.own) < slots/users {
--- a/internal/route/queue.go
+++ b/internal/route/queue.go
@@ -7,7 +7,7 @@
 	"github.com/corianderpier/corianderpier/internal/clock"
 )
 
-const rateWindow = clock.Second // over which the rate of starts is smoothed
+const rateWindow = 3 * clock.Second // over which the rate of starts is smoothed
 
 // queue holds the waiting requests of one service. Among customers the one
 // that has been given the fewest tokens for its share goes first; within a
@@ -17,10 +17,16 @@
 	customers map[string]*customer
 	served    float64 // share-weighted tokens of the customer served last
 	length    int
-	starts    float64 // requests started, decaying over the window
+	levels    [maxPriority + 1]level
 	decayed   clock.Millis
 }
 
+// level is what is known of the requests of one priority.
+type level struct {
+	length int
+	starts float64 // decaying over the window
+}
+
 type customer struct {
 	waiting []*wait
 	served  float64 // tokens divided by share
@@ -58,6 +64,7 @@
 	copy(c.waiting[at+1:], c.waiting[at:])
 	c.waiting[at] = w
 	q.length++
+	q.levels[rank(w.Priority)].length++
 }
 
 func (w *wait) before(other *wait) bool {
@@ -83,6 +90,7 @@
 		}
 		c.waiting = c.waiting[1:]
 		q.length--
+		q.levels[rank(w.Priority)].length--
 		if !w.gone {
 			q.served = max(q.served, c.served)
 			c.served += float64(w.Tokens+w.Output) / c.share
@@ -93,24 +101,29 @@
 }
 
 // progress counts the start of a request.
-func (q *queue) progress(now clock.Millis) {
+func (q *queue) progress(now clock.Millis, priority int) {
 	q.decay(now)
-	q.starts++
+	q.levels[rank(priority)].starts++
 }
 
 func (q *queue) decay(now clock.Millis) {
-	if now > q.decayed {
-		q.starts *= math.Exp(-float64(now-q.decayed) / float64(rateWindow))
-		q.decayed = now
+	if now <= q.decayed {
+		return
+	}
+	factor := math.Exp(-float64(now-q.decayed) / float64(rateWindow))
+	for i := range q.levels {
+		q.levels[i].starts *= factor
 	}
+	q.decayed = now
 }
 
-// delay predicts how long a request at the end of the queue waits.
-func (q *queue) delay(now clock.Millis) clock.Millis {
-	if q.length == 0 {
+// delay predicts how long a request of a priority waits, from the rate at which those of its priority start.
+func (q *queue) delay(now clock.Millis, priority int) clock.Millis {
+	q.decay(now)
+	l := q.levels[rank(priority)]
+	if l.length == 0 {
 		return 0
 	}
-	q.decay(now)
-	perSecond := max(q.starts/(float64(rateWindow)/float64(clock.Second)), 1)
-	return clock.Millis(float64(q.length) / perSecond * float64(clock.Second))
+	perSecond := max(l.starts/(float64(rateWindow)/float64(clock.Second)), 1)
+	return clock.Millis(float64(l.length) / perSecond * float64(clock.Second))
 }
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -50,6 +50,7 @@
 	table  *Table
 	node   *node
 	tokens int
+	memory int // tokens, with the output
 	rank   int // of its priority
 	first  bool
 	ended  bool
@@ -157,6 +158,7 @@
 		l.ended = true
 		l.settlePrompt()
 		delete(l.node.own, l)
+		l.node.held -= l.memory
 		now := clock.Now()
 		switch {
 		case leaving:
@@ -248,7 +250,7 @@
 	}
 	now := clock.Now()
 	q := t.queueFor(now, service, w)
-	if t.Policy.Admit && !w.Admitted && now+q.delay(now)+runTime(w.Request) > w.Deadline {
+	if t.Policy.Admit && !w.Admitted && now+q.delay(now, w.Priority)+runTime(w.Request) > w.Deadline {
 		count("shed_at_arrival")
 		w.granted <- grant{err: &Error{Op: "acquire", Kind: wire.ReasonOverload}}
 		return
@@ -308,7 +310,7 @@
 			w.granted <- grant{err: &Error{Op: "acquire", Kind: reason}}
 			continue
 		}
-		q.progress(now)
+		q.progress(now, w.Priority)
 		metrics.GetOrCreateHistogram("pier_queue_seconds").Update(float64(now-w.since) / 1000)
 		w.granted <- grant{lease: t.lease(chosen, w.Request)}
 	}
@@ -372,8 +374,9 @@
 }
 
 func (t *Table) lease(n *node, r Request) *Lease {
-	l := &Lease{Target: n.Target, table: t, node: n, tokens: r.Tokens, rank: rank(r.Priority)}
+	l := &Lease{Target: n.Target, table: t, node: n, tokens: r.Tokens, memory: r.Tokens + r.Output, rank: rank(r.Priority)}
 	n.own[l] = true
+	n.held += l.memory
 	n.backlog += r.Tokens
 	n.ranked[l.rank] += r.Tokens
 	return l
@@ -402,7 +405,7 @@
 
 func (t *Table) learn(n *node, load engine.Load) {
 	n.report, n.reported = load, clock.Now()
-	n.ownThen, n.backThen = len(n.own), n.backlog
+	n.ownThen, n.backThen, n.heldThen = len(n.own), n.backlog, n.held
 	if load.Leaving {
 		t.gone(n)
 	}
