route, member: Make idle cost independent of the number of targets

Cause: an idle instance used 1.1% of a core with 20 targets, 1.6% with 200 and 2.3% with 600 (9 instances, scripts/bench.sh, TestTargetSlope); 81 instances sent 8,265 bytes/s each for a minute after their start. Each look at the homes of engines sorted all members for each target, load reports of idle engines were read 6.7 times a second, and news was sent 24 times.

Ruled out: the probes (522 bytes/s at 9 and 526 at 27 instances).

Changed: a home is found without sorting, a subset of targets is computed once for each version of the view and the list, reports are read twice a second at most (answers carry them anyway), the queue is looked at only while a request waits, and news is sent four times for each digit of the number of members.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -11,8 +11,6 @@
 	PathState        = "/v1/state"
 	PathOrders       = "/v1/orders"
 
-	HeaderAttempt   = "X-Attempt"
-	HeaderKey       = "Idempotency-Key"
 	HeaderLoad      = "X-Load" // a Load, on the answer to a prompt
 	HeaderLeaving   = "X-Leaving"
 	HeaderUntouched = "X-Not-Processed" // the target states that it did not act
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"math/bits"
 	"math/rand/v2"
 	"sort"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -23,7 +23,7 @@
 	pauseLimit     = 3 * period / 2         // a longer gap between probes means that this process was paused
 	helpers        = 3                      // instances asked to probe
 	newsPerPacket  = 6
-	spreadFactor   = 3 // transmissions of one piece of news, times the logarithm of the members
+	spreadFactor   = 4 // transmissions of one piece of news, times the decimal digits of the number of members
 	deadProbe      = 5 // periods between probes of one dead instance
 	syncPeriods    = 5 // least periods between exchanges of the whole list
 	forgetAfter    = 10 * clock.Minute
@@ -92,6 +92,7 @@
 	ticks   int
 	ticked  time.Time
 	synced  int
+	version uint64
 	view    atomic.Pointer[View]
 	heard   atomic.Int64 // when a peer was last heard, milliseconds
 }
@@ -448,7 +449,7 @@
 // pick takes the least sent news and retires what was sent often enough.
 func (g *Group) pick() []Rumor {
 	sort.SliceStable(g.news, func(i, j int) bool { return g.news[i].sent < g.news[j].sent })
-	limit := spreadFactor * (1 + bits.Len(uint(len(g.members))))
+	limit := spreadFactor * len(strconv.Itoa(len(g.members)))
 	var rumors []Rumor
 	for _, n := range g.news[:min(len(g.news), newsPerPacket)] {
 		n.sent++
@@ -515,5 +516,6 @@
 		members = append(members, k.Member)
 	}
 	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
-	g.view.Store(&View{Members: members})
+	g.version++
+	g.view.Store(&View{Members: members, Version: g.version})
 }
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -1,9 +1,11 @@
 package member
 
 import (
+	"cmp"
+	"math/bits"
 	"slices"
-	"sort"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -50,6 +52,8 @@
 // Owner identifies the process: the instance and its first incarnation.
 func (m Member) Owner() string { return m.Name + "/" + strconv.FormatUint(m.Born, 10) }
 
+func (m Member) live() bool { return m.State == Alive || m.State == Suspect }
+
 // newer reports whether m overrides what is known in old.
 func (m Member) newer(old Member) bool {
 	if m.Incarnation != old.Incarnation {
@@ -61,11 +65,12 @@
 // View is an immutable list of the known instances, sorted by name.
 type View struct {
 	Members []Member
+	Version uint64 // changes with the list, on this instance
 }
 
 // Live returns the instances that are neither dead nor leaving.
 func (v View) Live() []Member {
-	return v.filter(func(m Member) bool { return m.State == Alive || m.State == Suspect })
+	return v.filter(Member.live)
 }
 
 // Present returns the instances that are not dead.
@@ -75,7 +80,10 @@
 
 // Has reports whether the process with this owner identity is not known to be gone.
 func (v View) Has(owner string) bool {
-	return slices.ContainsFunc(v.Members, func(m Member) bool { return m.State != Dead && m.Owner() == owner })
+	name, born, _ := strings.Cut(owner, "/")
+	return slices.ContainsFunc(v.Members, func(m Member) bool {
+		return m.State != Dead && m.Name == name && strconv.FormatUint(m.Born, 10) == born
+	})
 }
 
 // Rank orders the live instances by rendezvous hash for a key; the first is its home.
@@ -83,26 +91,36 @@
 
 // Home reports whether the named instance is among the first n of the rank for a key.
 func (v View) Home(name, key string, n int) bool {
-	rank := v.Rank(key)
-	return slices.ContainsFunc(rank[:min(n, len(rank))], func(m Member) bool { return m.Name == name })
+	hashed := xxhash.Sum64String(key)
+	own := score(hashed, name)
+	higher, found := 0, false
+	for _, m := range v.Members {
+		if !m.live() {
+			continue
+		}
+		if m.Name == name {
+			found = true
+		} else if score(hashed, m.Name) > own {
+			higher++
+		}
+	}
+	return found && higher < n
 }
 
 // Rank orders instances by rendezvous hash for a key.
 func Rank(members []Member, key string) []Member {
-	type scored struct {
-		member Member
-		score  uint64
-	}
-	ranked := make([]scored, len(members))
-	for i, m := range members {
-		ranked[i] = scored{m, xxhash.Sum64String(key + "\x00" + m.Name)}
-	}
-	sort.Slice(ranked, func(i, j int) bool { return ranked[i].score > ranked[j].score })
-	out := make([]Member, len(ranked))
-	for i, s := range ranked {
-		out[i] = s.member
-	}
-	return out
+	hashed := xxhash.Sum64String(key)
+	ranked := slices.Clone(members)
+	slices.SortFunc(ranked, func(a, b Member) int { return cmp.Compare(score(hashed, b.Name), score(hashed, a.Name)) })
+	return ranked
+}
+
+// score mixes the hash of a key with that of a name.
+func score(key uint64, name string) uint64 {
+	x := (key ^ bits.RotateLeft64(xxhash.Sum64String(name), 32)) * 0x9e3779b97f4a7c15
+	x ^= x >> 29
+	x *= 0xbf58476d1ce4e5b9
+	return x ^ x>>32
 }
 
 func (v View) filter(keep func(Member) bool) []Member {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -170,6 +170,7 @@
 	if got.Failed != "" {
 		return &Error{Op: op, Kind: Failed, Err: eris.New(got.Failed)}
 	}
+	metrics.GetOrCreateCounter(`pier_call_bytes_total{kind="` + kind + `"}`).Add(len(message) + len(got.Body))
 	if err := cbor.Unmarshal(got.Body, resp); err != nil {
 		return &Error{Op: op, Kind: NoAnswer, Err: err}
 	}
--- /dev/null
+++ b/internal/proof/hush_test.go
@@ -0,0 +1,95 @@
+package proof
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/corianderpier/corianderpier/internal/stage"
+)
+
+// All open connections of one kind go silent for good while new ones work, three times in a row, under load.
+
+func TestHushedEngineConnections(t *testing.T) {
+	var proxies []*hushProxy
+	site := stage.Start(t, stage.Spec{
+		Entries: 2, Engines: 2, Config: siteConfig(),
+		TargetFor: func(_, addr string) string {
+			proxies = append(proxies, newHushProxy(t, addr))
+			return proxies[len(proxies)-1].addr()
+		},
+	})
+	all := hushed(t, site, proxies)
+	all.checkWhole(t)
+	all.checkTimes(t, statusDeadline)
+	heldByOwners(t, site)
+}
+
+func TestHushedCallerConnections(t *testing.T) {
+	site := stage.Start(t, stage.Spec{Entries: 2, Engines: 2, Config: siteConfig()})
+	var proxies []*hushProxy
+	for _, e := range site.Entries {
+		p := newHushProxy(t, e.Addr)
+		proxies = append(proxies, p)
+		e.Addr = p.addr()
+	}
+	all := hushed(t, site, proxies)
+	all.checkWhole(t)
+	// The silent connection costs the caller's limit, and the next one starts a deadline of its own.
+	all.checkTimes(t, 3*time.Second+statusDeadline)
+}
+
+func TestHushedStoreConnections(t *testing.T) {
+	var proxies []*hushProxy
+	site := stage.Start(t, stage.Spec{
+		Entries: 3, Plains: 1, Config: siteConfig(),
+		StoreFor: func(_ int, addr string) string {
+			proxies = append(proxies, newHushProxy(t, addr))
+			return proxies[len(proxies)-1].addr()
+		},
+	})
+	ctx := testContext(t, time.Minute)
+	var all tally
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		bookPairs(ctx, site, &all, "hush", 120, 40*time.Millisecond)
+	}()
+	hushRepeatedly(proxies)
+	<-done
+	t.Log(all.summary())
+	all.checkBookings(t, site)
+	all.checkTimes(t, statusDeadline)
+	inForce(t, site.Entries, site.PutConfig(changed(6000)))
+}
+
+// hushed reads through the addresses of the entries while connections go silent.
+func hushed(t *testing.T, site *stage.Site, proxies []*hushProxy) *tally {
+	t.Helper()
+	ctx := testContext(t, time.Minute)
+	var all tally
+	var group sync.WaitGroup
+	for i := range 10 {
+		client := site.Caller("importer")
+		client.Fixed = true
+		group.Go(func() {
+			for n := range 3 {
+				all.add(read(ctx, client, "status", fmt.Sprintf("hush-%d-%d", i, n), 2000, 40))
+			}
+		})
+	}
+	hushRepeatedly(proxies)
+	group.Wait()
+	t.Log(all.summary())
+	return &all
+}
+
+func hushRepeatedly(proxies []*hushProxy) {
+	for range 3 {
+		time.Sleep(900 * time.Millisecond)
+		for _, p := range proxies {
+			p.hush()
+		}
+	}
+}
--- a/internal/route/long.go
+++ b/internal/route/long.go
@@ -117,7 +117,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			l.Loop.Post(func() { l.tick(ctx) })
+			l.Loop.Post(l.tick)
 		}
 	}
 }
@@ -129,10 +129,9 @@
 		Request: Request{ID: a.ID, Customer: a.Customer, Share: a.Share, Tokens: a.Tokens, Priority: a.Priority, Deadline: a.Deadline},
 		since:   clock.Now(), due: a.Deadline,
 	}
-	l.Loop.Post(func() { l.ask(ctx, p) })
+	l.Loop.Post(func() { l.ask(p) })
 	timeout := time.NewTimer((a.Deadline - clock.Now()).Duration())
 	defer timeout.Stop()
-	reason := wire.ReasonDeadline
 	select {
 	case g := <-p.done:
 		return g
@@ -140,7 +139,7 @@
 	case <-timeout.C:
 	}
 	l.Release(a.Service, a.Cell, a.ID)
-	return Grant{ID: a.ID, Reason: reason}
+	return Grant{ID: a.ID, Reason: wire.ReasonDeadline}
 }
 
 // Release gives granted memory back, or withdraws the request for it.
@@ -162,7 +161,7 @@
 	})
 }
 
-func (l *Ledger) ask(ctx context.Context, p *pending) {
+func (l *Ledger) ask(p *pending) {
 	key := cellKey(p.ask.Service, p.ask.Cell)
 	c := l.cells[key]
 	if c == nil {
@@ -239,7 +238,7 @@
 			held, _ := l.Held(ctx, n.Addr)
 			cancel()
 			for _, h := range held {
-				if h.Tokens > long || h.Kind == "reservation" {
+				if h.Tokens > long || h.Kind == engine.KindReservation {
 					inherited[n.ID] += h.Tokens
 				}
 			}
@@ -253,7 +252,7 @@
 	}()
 }
 
-func (l *Ledger) tick(ctx context.Context) {
+func (l *Ledger) tick() {
 	now := clock.Now()
 	view := l.View()
 	for _, c := range l.cells {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -20,8 +21,8 @@
 	aperture       = 16     // targets of a service that an instance uses when there are many instances
 	minUsers       = 8      // instances that use each target at least
 	pumpPeriod     = 20 * clock.Millis(1)
-	reportPeriod   = 150 * clock.Millis(1) // between load reports read; one target each
-	staleReport    = clock.Second          // a younger report is not read again
+	reportPeriod   = clock.Second / 2      // between load reports read; one target each
+	staleReport    = 2 * clock.Second      // a younger report is not read again
 	excludeTime    = 200 * clock.Millis(1) // for which a request waits for a target that has not failed
 	tokenTime      = 25 * clock.Millis(1)  // between generated tokens, for predictions
 )
@@ -66,11 +67,14 @@
 	Report func(ctx context.Context, addr string) (engine.Load, error)
 	OnGone func(target string) // a target said that it takes no new work
 
-	nodes   map[string]*node
-	queues  map[string]*queue
-	order   map[string]int // for policies that go round
-	marks   map[string]bool
-	started clock.Millis
+	nodes     map[string]*node
+	queues    map[string]*queue
+	order     map[string]int // for policies that go round
+	marks     map[string]bool
+	subsets   map[string][]*node // by service, for one version of the view and of the list
+	subsetsOf uint64
+	started   clock.Millis
+	waiting   atomic.Int64 // requests between Acquire and its answer
 }
 
 // Start sets up the state.
@@ -93,7 +97,9 @@
 		case <-ctx.Done():
 			return nil
 		case <-pump.C:
-			t.Loop.Post(t.pump)
+			if t.waiting.Load() > 0 {
+				t.Loop.Post(t.pump)
+			}
 		case <-report.C:
 			t.Loop.Post(func() { t.readReport(ctx) })
 		}
@@ -103,6 +109,8 @@
 // Acquire waits for a slot on a target that suits the request, or says why there is none.
 func (t *Table) Acquire(ctx context.Context, r Request) (*Lease, error) {
 	w := t.wait(r)
+	t.waiting.Add(1)
+	defer t.waiting.Add(-1)
 	if !t.Loop.Post(func() { t.enqueue(w) }) {
 		return nil, &Error{Op: "acquire", Kind: wire.ReasonDraining}
 	}
@@ -186,6 +194,7 @@
 func (t *Table) Replace(r roster.Roster) {
 	t.Loop.Post(func() {
 		now := clock.Now()
+		t.subsets = nil
 		listed := make(map[string]bool, len(r.Targets))
 		for _, target := range r.Targets {
 			listed[target.ID] = true
@@ -345,11 +354,9 @@
 // other instances send the mix of priorities that this one sends.
 func (t *Table) processing(now clock.Millis, n *node, r Request) clock.Millis {
 	ahead, all := 0, 0
-	for _, other := range t.nodes {
-		if other.Service == n.Service {
-			ahead += other.ahead(r.Priority)
-			all += other.backlog
-		}
+	for _, other := range t.subset(n.Service) {
+		ahead += other.ahead(r.Priority)
+		all += other.backlog
 	}
 	others := n.others(now)
 	if all > 0 {
@@ -360,7 +367,12 @@
 
 // offers reports whether any target takes this kind of work at all.
 func (t *Table) offers(service config.Service, r Request) bool {
-	return len(t.filter(service, func(n *node) bool { return n.offered(r) })) > 0
+	for _, n := range t.nodes {
+		if n.Service == service.Name && n.offered(r) {
+			return true
+		}
+	}
+	return false
 }
 
 func (t *Table) filter(service config.Service, keep func(*node) bool) []*node {
@@ -385,22 +397,47 @@
 // candidates are the targets of this instance's subset that can run the request, or all that can if the subset has none.
 func (t *Table) candidates(service config.Service, r Request) []*node {
 	now := clock.Now()
-	usable := t.filter(service, func(n *node) bool { return n.usable(now, r) })
-	if len(usable) <= aperture {
-		return usable
+	usable := func(n *node) bool { return n.usable(now, r) }
+	if chosen := keep(t.subset(service.Name), usable); len(chosen) > 0 {
+		return chosen
 	}
-	var subset []*node
+	return t.filter(service, usable)
+}
+
+// subset returns the targets of a service that this instance uses first, so that each instance knows a few targets
+// well: all of a small service.
+func (t *Table) subset(service string) []*node {
 	view := t.View()
-	users := max(minUsers, len(view.Members)*aperture/len(usable))
-	for _, n := range usable {
-		if view.Home(t.Self, "target/"+n.ID, users) {
-			subset = append(subset, n)
+	if t.subsets == nil || t.subsetsOf != view.Version {
+		t.subsets, t.subsetsOf = make(map[string][]*node), view.Version
+	}
+	if cached, ok := t.subsets[service]; ok {
+		return cached
+	}
+	var all, mine []*node
+	for _, n := range t.nodes {
+		if n.Service == service {
+			all = append(all, n)
 		}
 	}
-	if len(subset) == 0 {
-		return usable
+	users := max(minUsers, len(view.Members)*aperture/max(len(all), 1))
+	for _, n := range all {
+		if len(all) <= aperture || view.Home(t.Self, "target/"+n.ID, users) {
+			mine = append(mine, n)
+		}
+	}
+	t.subsets[service] = mine
+	return mine
+}
+
+func keep(nodes []*node, wanted func(*node) bool) []*node {
+	var kept []*node
+	for _, n := range nodes {
+		if wanted(n) {
+			kept = append(kept, n)
+		}
 	}
-	return subset
+	return kept
 }
 
 func (t *Table) learn(n *node, load engine.Load) {
@@ -418,9 +455,11 @@
 	}
 	now := clock.Now()
 	var oldest *node
-	for _, n := range t.nodes {
-		if !n.leaving && now-n.reported > staleReport && (oldest == nil || n.reported < oldest.reported) {
-			oldest = n
+	for _, service := range t.Config().Services {
+		for _, n := range t.subset(service.Name) {
+			if !n.leaving && now-n.reported > staleReport && (oldest == nil || n.reported < oldest.reported) {
+				oldest = n
+			}
 		}
 	}
 	if oldest == nil {
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -5,7 +5,6 @@
 	PathAddresses   = "/v1/addresses"
 	PathCompletions = "/v1/completions"
 	PathCalls       = "/v1/calls"
-	PathOperations  = "/v1/operations/"
 
 	HeaderCustomer = "X-Customer"
 	HeaderKey      = "Idempotency-Key"
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -12,7 +12,7 @@
 	skip="$skip|^$name\$"
 done
 status=0
-go test -count=1 -v -timeout 15m -skip "$skip" ./internal/proof ./internal/oplog >"$out" 2>&1 || status=$?
+go test -count=1 -v -timeout 20m -skip "$skip" ./internal/proof ./internal/oplog >"$out" 2>&1 || status=$?
 
 # point NAME SEEDS TESTS prints how many of the tests passed and failed.
 point() {
@@ -20,14 +20,15 @@
 	failed=$(grep -cE "^ *--- FAIL: ($3)( |/)" "$out" || true)
 	printf '%-52s %3d cases  seeds %-8s %d violations\n' "$1" $((passed + failed)) "$2" "$failed"
 }
-point "finishes or fails in time" - "TestSilentEngineConnection|TestEngineCut|TestAllEnginesSilent|TestStoreDown|TestEntrySilent"
-point "no engine loses memory" - "TestMemoryAfterKill|TestMemoryAfterFreeze|TestMemoryAfterCallersLeave|TestHalvesApart"
-point "own and whole answer" - "TestWholePath|TestWrongAnswers|TestOnlyWrongAnswers"
-point "told not run, and not run" "7, 1-6" "TestRandomFaultsOnBookings|TestStoreDown|TestRandomFaults|TestStoreDownMeansNotRun"
-point "at most one run" "7, 1-6" "TestFrozenWriterResumed|TestKilledWriters|TestStoreLosesAnswers|TestTargetAnswersLateOrNever|TestRandomFaultsOnBookings|TestRandomFaults|TestFormerWriterDispatchesNothing"
+point "finishes or fails in time" "13" "TestSilentEngineConnection|TestEngineCut|TestAllEnginesSilent|TestEntrySilent|TestStoreDown|TestStoreLosesAnswers|TestHushed[A-Za-z]*|TestZoneKilled|TestRandomFaultsOnReads"
+point "no engine loses memory" "13" "TestMemoryAfterKill|TestMemoryAfterFreeze|TestMemoryAfterCallersLeave|TestHalvesApart|TestZoneKilled|TestHushedEngineConnections|TestRandomFaultsOnReads"
+point "own and whole answer" "13" "TestWholePath|TestWrongAnswers|TestOnlyWrongAnswers|TestRandomFaultsOnReads"
+point "told not run, and not run" "7, 1-6" "TestRandomFaultsOnBookings|TestStoreDown|TestRandomFaults|TestStoreDownMeansNotRun|TestBadInput"
+point "at most one run" "7, 1-6" "TestFrozenWriterResumed|TestKilledWriters|TestStoreLosesAnswers|TestTargetAnswersLateOrNever|TestRandomFaultsOnBookings|TestRandomFaults|TestFormerWriterDispatchesNothing|TestHalvesApart|TestHushedStoreConnections"
 point "a leaving target gets no new work" - "TestLeavingTarget|TestLeavingInList"
 point "a planned stop cuts off no request" - "TestRollingReplacement"
 point "an accepted configuration holds" - "TestConfigInForce|TestConfigNeverReverts|TestStartInOutage|TestRacingOperators|TestApplyWithLostAnswer|TestIsolatedInstance"
+point "engines obey the present orders only" - "TestOrdersAfterTakeover"
 point "membership" - "TestDetection|TestSimultaneousRestart|TestOneWayCut|TestHalvesApart"
 grep -E '^ *--- FAIL|panic:|^ok|^FAIL' "$out" || true
 sh spec/check.sh || status=1
