route: Let the next home decide when a home ends

Cause: a home that was being replaced answered a waiting reservation with "deadline" when its own context ended, 5 s into a deadline of a minute, and the long read failed.

Ruled out: the drain itself; all admitted requests of the instance had ended.

After: the reservation ends with an error, and the caller's instance asks the next home; TestHomeStopsWaiting has the case alone.

Also: a lock for the staged site's list of instances (race found in the tests), tests run three at a time, and large files are split by duty.

Conclusion: only the deadline is called the deadline.

--- a/internal/entry/rpc.go
+++ b/internal/entry/rpc.go
@@ -88,7 +88,7 @@
 	})
 	peer.On(e.peers, callReserve, func(ctx context.Context, _ string, r reserveRequest) (route.Grant, error) {
 		r.Ask.Deadline = clock.Now() + r.Left
-		return e.ledger.Reserve(ctx, r.Ask), nil
+		return e.ledger.Reserve(ctx, r.Ask)
 	})
 	peer.On(e.peers, callRelease, func(_ context.Context, _ string, a route.Ask) (none, error) {
 		e.ledger.Release(a.Service, a.Cell, a.ID)
@@ -158,7 +158,7 @@
 
 func (e *Entry) reserve(ctx context.Context, home member.Member, a route.Ask) (route.Grant, error) {
 	if e.local(home) {
-		return e.ledger.Reserve(ctx, a), nil
+		return e.ledger.Reserve(ctx, a)
 	}
 	var grant route.Grant
 	request := reserveRequest{Ask: a, Left: a.Deadline - clock.Now()}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"sort"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -36,17 +35,6 @@
 	Targets uint64 `cbor:"2,keyasint"`
 }
 
-// Mark says that a target takes no new work; it is never undone.
-type Mark struct {
-	Target string `cbor:"1,keyasint"`
-}
-
-// Rumor is news about an instance or a target.
-type Rumor struct {
-	Member *Member `cbor:"1,keyasint,omitempty"`
-	Mark   *Mark   `cbor:"2,keyasint,omitempty"`
-}
-
 type packetKind uint8
 
 const (
@@ -66,12 +54,6 @@
 	Rumors   []Rumor    `cbor:"7,keyasint,omitempty"`
 }
 
-// List is the whole of what an instance knows, exchanged when two lists differ.
-type List struct {
-	Members []Member `cbor:"1,keyasint"`
-	Marks   []string `cbor:"2,keyasint"`
-}
-
 // Group is one instance's part in the membership protocol. Its state belongs to the control loop.
 type Group struct {
 	Self      Member
@@ -97,25 +79,6 @@
 	heard   atomic.Int64 // when a peer was last heard, milliseconds
 }
 
-type known struct {
-	Member
-	since clock.Millis // of the present state
-	probe int          // tick of the last probe
-}
-
-type item struct {
-	rumor Rumor
-	key   string
-	sent  int
-}
-
-type probe struct {
-	name  string
-	acked bool
-	relay string // address that asked for the probe
-	seq   uint64 // its sequence number there
-}
-
 // Start sets up the state with the instance alone in its view.
 func (g *Group) Start() {
 	g.members = make(map[string]*known)
@@ -221,138 +184,6 @@
 	}
 }
 
-func (g *Group) acked(p packet) {
-	sent := g.probes[p.Seq]
-	if sent == nil {
-		return
-	}
-	if sent.relay != "" {
-		g.transmit(sent.relay, packet{Kind: ack, Seq: sent.seq})
-		delete(g.probes, p.Seq)
-		return
-	}
-	g.confirm(sent)
-}
-
-func (g *Group) confirm(sent *probe) {
-	sent.acked = true
-}
-
-func (g *Group) tick(ctx context.Context) {
-	now := time.Now()
-	paused := !g.ticked.IsZero() && now.Sub(g.ticked) > pauseLimit.Duration()
-	g.ticked = now
-	g.ticks++
-	if paused {
-		// What was not answered says nothing about the others.
-		g.probes = make(map[uint64]*probe)
-		for _, k := range g.members {
-			k.since = clock.Now()
-		}
-	}
-	g.expire()
-	if name := g.next(); name != "" {
-		g.probe(ctx, name)
-	}
-	g.probeDead()
-}
-
-// expire turns suspicion into death and forgets what died long ago.
-func (g *Group) expire() {
-	now := clock.Now()
-	for name, k := range g.members {
-		switch {
-		case k.State == Suspect && now-k.since > suspectTimeout:
-			g.change(k.WithState(Dead))
-		case k.State == Dead && now-k.since > forgetAfter:
-			delete(g.members, name)
-			g.publish()
-		}
-	}
-}
-
-func (g *Group) next() string {
-	for {
-		if len(g.order) == 0 {
-			for name, k := range g.members {
-				if k.State != Dead {
-					g.order = append(g.order, name)
-				}
-			}
-			if len(g.order) == 0 {
-				return ""
-			}
-			rand.Shuffle(len(g.order), func(i, j int) { g.order[i], g.order[j] = g.order[j], g.order[i] })
-		}
-		name := g.order[0]
-		g.order = g.order[1:]
-		if k := g.members[name]; k != nil && k.State != Dead {
-			return name
-		}
-	}
-}
-
-func (g *Group) probe(ctx context.Context, name string) {
-	g.seq++
-	seq, sent := g.seq, &probe{name: name}
-	g.probes[seq] = sent
-	g.transmit(g.members[name].Peer, packet{Kind: ping, Seq: seq})
-	time.AfterFunc(directTimeout.Duration(), func() {
-		g.Loop.Post(func() { g.indirect(ctx, seq, sent) })
-	})
-	time.AfterFunc(probeTimeout.Duration(), func() {
-		g.Loop.Post(func() { g.judge(seq, sent) })
-	})
-}
-
-// indirect asks other instances, and a connection of its own, about a peer that has not answered.
-func (g *Group) indirect(ctx context.Context, seq uint64, sent *probe) {
-	k := g.members[sent.name]
-	if sent.acked || k == nil || g.probes[seq] != sent {
-		return
-	}
-	count := 0
-	for name, other := range g.members {
-		if name == sent.name || other.State != Alive || count == helpers {
-			continue
-		}
-		count++
-		g.transmit(other.Peer, packet{Kind: pingRequest, Seq: seq, About: k.Peer})
-	}
-	addr := k.Peer
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, (probeTimeout - directTimeout).Duration())
-		defer cancel()
-		if g.Direct(ctx, addr) == nil {
-			g.Loop.Post(func() { g.confirm(sent) })
-		}
-	}()
-}
-
-func (g *Group) judge(seq uint64, sent *probe) {
-	if g.probes[seq] != sent {
-		return
-	}
-	delete(g.probes, seq)
-	k := g.members[sent.name]
-	if sent.acked || k == nil || k.State == Dead || k.State == Suspect {
-		return
-	}
-	metrics.GetOrCreateCounter("pier_member_suspected_total").Inc()
-	g.change(k.WithState(Suspect))
-}
-
-// probeDead lets the two sides of a healed partition find each other again.
-func (g *Group) probeDead() {
-	for _, k := range g.members {
-		if k.State == Dead && g.ticks-k.probe >= deadProbe {
-			k.probe = g.ticks
-			g.transmit(k.Peer, packet{Kind: gossip, Rumors: []Rumor{{Member: &k.Member}}})
-			return
-		}
-	}
-}
-
 // learn takes in news about an instance unless something newer is known.
 func (g *Group) learn(m Member) {
 	if m.Name == "" {
@@ -396,44 +227,6 @@
 	g.publish()
 }
 
-func (g *Group) mark(target string) {
-	if g.marks[target] {
-		return
-	}
-	g.marks[target] = true
-	g.queue(&item{rumor: Rumor{Mark: &Mark{Target: target}}, key: "t/" + target})
-	if g.OnMark != nil {
-		g.OnMark(target)
-	}
-	g.spread()
-}
-
-func (g *Group) queueMember(m Member) {
-	g.queue(&item{rumor: Rumor{Member: &m}, key: "m/" + m.Name})
-}
-
-func (g *Group) queue(fresh *item) {
-	for i, old := range g.news {
-		if old.key == fresh.key {
-			g.news[i] = fresh
-			return
-		}
-	}
-	g.news = append(g.news, fresh)
-}
-
-// spread sends fresh news to a random peer, so that it does not wait for the next probe.
-func (g *Group) spread() {
-	if len(g.news) == 0 || len(g.members) == 0 {
-		return
-	}
-	present := g.View().Present()
-	to := present[rand.IntN(len(present))]
-	if to.Name != g.Self.Name {
-		g.transmit(to.Peer, packet{Kind: gossip})
-	}
-}
-
 func (g *Group) transmit(addr string, p packet) {
 	p.From = g.Self
 	p.Digest = g.digest()
@@ -446,70 +239,6 @@
 	g.Send(addr, data)
 }
 
-// pick takes the least sent news and retires what was sent often enough.
-func (g *Group) pick() []Rumor {
-	sort.SliceStable(g.news, func(i, j int) bool { return g.news[i].sent < g.news[j].sent })
-	limit := spreadFactor * len(strconv.Itoa(len(g.members)))
-	var rumors []Rumor
-	for _, n := range g.news[:min(len(g.news), newsPerPacket)] {
-		n.sent++
-		rumors = append(rumors, n.rumor)
-	}
-	kept := g.news[:0]
-	for _, n := range g.news {
-		if n.sent < limit {
-			kept = append(kept, n)
-		}
-	}
-	g.news = kept
-	return rumors
-}
-
-// reconcile exchanges whole lists with a peer whose list differs, at a limited rate.
-func (g *Group) reconcile(with Member) {
-	if g.ticks-g.synced < syncPeriods && g.synced != 0 {
-		return
-	}
-	g.synced = max(g.ticks, 1)
-	own := g.list()
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), period.Duration())
-		defer cancel()
-		theirs, err := g.Sync(ctx, with.Peer, own)
-		if err == nil {
-			g.Loop.Post(func() { g.merge(theirs) })
-		}
-	}()
-}
-
-func (g *Group) merge(l List) {
-	for _, m := range l.Members {
-		g.learn(m)
-	}
-	for _, target := range l.Marks {
-		g.mark(target)
-	}
-}
-
-func (g *Group) list() List {
-	l := List{Members: g.View().Members}
-	for target := range g.marks {
-		l.Marks = append(l.Marks, target)
-	}
-	return l
-}
-
-func (g *Group) digest() uint64 {
-	// Order does not matter, so that both sides need not sort.
-	sum := uint64(len(g.marks))
-	for _, m := range g.View().Members {
-		if m.State != Dead {
-			sum += hash(m)
-		}
-	}
-	return sum
-}
-
 func (g *Group) publish() {
 	members := []Member{g.Self}
 	for _, k := range g.members {
--- a/internal/proof/booking_test.go
+++ b/internal/proof/booking_test.go
@@ -46,6 +46,7 @@
 
 // The writer of a shard is frozen across a takeover, and resumed: at most one run for each key.
 func TestFrozenWriterResumed(t *testing.T) {
+	t.Parallel()
 	site := stage.Start(t, stage.Spec{Entries: 3, Plains: 1, Config: siteConfig()})
 	ctx := testContext(t, time.Minute)
 	site.Fault(site.Real(site.Targets[0]), plainFault{Delay: 30})
@@ -68,6 +69,7 @@
 
 // Instances are killed and replaced while bookings go on.
 func TestKilledWriters(t *testing.T) {
+	t.Parallel()
 	site := stage.Start(t, stage.Spec{Entries: 4, Plains: 2, Config: siteConfig()})
 	ctx := testContext(t, time.Minute)
 	var all tally
@@ -89,6 +91,7 @@
 
 // The object API loses answers, carries writes out late, answers slowly and with old versions.
 func TestStoreLosesAnswers(t *testing.T) {
+	t.Parallel()
 	site := stage.Start(t, stage.Spec{Entries: 3, Plains: 1, Config: siteConfig()})
 	ctx := testContext(t, time.Minute)
 	site.Fault(site.Store, storeFault{Delay: 5, LoseAnswer: 0.15, Late: 0.15, Stale: 0.2})
@@ -102,6 +105,7 @@
 
 // While the object API is down a booking is refused in time and truthfully, reads go on, and bookings resume afterwards.
 func TestStoreDown(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	site := stage.Start(t, stage.Spec{Entries: 3, Engines: 1, Plains: 1, Config: siteConfig()})
 	ctx := testContext(t, time.Minute)
@@ -133,6 +137,7 @@
 
 // A target that does not answer, answers late, or refuses: the outcome is unknown or not run, never a second run.
 func TestTargetAnswersLateOrNever(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	site := stage.Start(t, stage.Spec{Entries: 3, Plains: 2, Config: siteConfig()})
 	ctx := testContext(t, time.Minute)
@@ -155,6 +160,7 @@
 
 // Two faults at once, drawn by a seed, over at least 10,000 operations in the long run.
 func TestRandomFaultsOnBookings(t *testing.T) {
+	t.Parallel()
 	seed, keys := uint64(7), 5000
 	if testing.Short() {
 		keys = 400
--- a/internal/proof/config_test.go
+++ b/internal/proof/config_test.go
@@ -44,6 +44,7 @@
 
 // An accepted change is in force everywhere in time, also where the object API is cut off right after it.
 func TestConfigInForce(t *testing.T) {
+	t.Parallel()
 	proxies := make(map[int]*faultProxy)
 	site := stage.Start(t, stage.Spec{
 		Entries: 9, Config: siteConfig(),
@@ -63,6 +64,7 @@
 
 // An object API that serves older versions never brings one back into force.
 func TestConfigNeverReverts(t *testing.T) {
+	t.Parallel()
 	site := stage.Start(t, stage.Spec{Entries: 3, Config: siteConfig()})
 	site.PutConfig(changed(6 * clock.Second))
 	version := site.PutConfig(changed(7 * clock.Second))
@@ -83,6 +85,7 @@
 
 // An instance that starts while the object API is down gets the configuration from its peers and serves.
 func TestStartInOutage(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	site := stage.Start(t, stage.Spec{Entries: 2, Engines: 1, Config: siteConfig()})
 	site.Fault(site.Store, storeFault{Refuse: true})
@@ -117,6 +120,7 @@
 
 // Of racing operators one wins, and the others are shown the winner's change.
 func TestRacingOperators(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	site := stage.Start(t, stage.Spec{Entries: 2, Config: siteConfig()})
 	base := fmt.Sprint(site.PutConfig(changed(6 * clock.Second)))
@@ -147,6 +151,7 @@
 
 // The object API loses the answer to a change that took effect: the operator is still told the truth.
 func TestApplyWithLostAnswer(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	site := stage.Start(t, stage.Spec{Entries: 2, Config: siteConfig()})
 	site.Fault(site.Store, storeFault{LoseAnswer: 1})
--- a/internal/proof/drain_test.go
+++ b/internal/proof/drain_test.go
@@ -12,6 +12,7 @@
 
 // All instances are replaced one after another under load, with long reads open and callers that hold old addresses: no request fails.
 func TestRollingReplacement(t *testing.T) {
+	t.Parallel()
 	entries := 9
 	if testing.Short() {
 		entries = 4
--- a/internal/proof/fault_test.go
+++ b/internal/proof/fault_test.go
@@ -55,6 +55,7 @@
 
 // Connections to an engine go silent for good in either direction while new ones work: answers stay whole and in time.
 func TestSilentEngineConnection(t *testing.T) {
+	t.Parallel()
 	for _, direction := range []string{"upstream", "downstream"} {
 		t.Run(direction, func(t *testing.T) {
 			site, proxy := engineSite(t, 2)
@@ -72,6 +73,7 @@
 
 // All connections to an engine are cut in the middle of answers, and new ones are refused.
 func TestEngineCut(t *testing.T) {
+	t.Parallel()
 	site, proxy := engineSite(t, 2)
 	done := make(chan *tally)
 	go func() { done <- readMany(t, site, 20, "status", 2000, 100) }()
@@ -85,6 +87,7 @@
 
 // With no engine that answers, every request fails by its deadline and says so.
 func TestAllEnginesSilent(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	site, proxy := engineSite(t, 1)
 	proxy.silence("downstream")
@@ -98,6 +101,7 @@
 
 // Crossed, cut, shortened, repeated and stalled answers: none is taken for complete.
 func TestWrongAnswers(t *testing.T) {
+	t.Parallel()
 	faults := map[string]fake.EngineFault{
 		"cross":   {Cross: true, Times: 4},
 		"cut":     {Cut: 3, Times: 4},
@@ -121,6 +125,7 @@
 // With an engine that only ever answers wrongly a caller has a failure or its own whole answer, pieced together
 // from what was right; from an engine that answers for other attempts nothing is right.
 func TestOnlyWrongAnswers(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	site := stage.Start(t, stage.Spec{Entries: 1, Engines: 1, Config: siteConfig()})
 	for _, fault := range []fake.EngineFault{{Cross: true}, {Shorten: true}, {Repeat: true}} {
@@ -144,6 +149,7 @@
 
 // Instances are killed in prefill, decode and a reservation over several engines: no engine loses memory for good.
 func TestMemoryAfterKill(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	site := stage.Start(t, stage.Spec{Entries: 4, Engines: 5, Config: siteConfig()})
 	ctx := testContext(t, time.Minute)
@@ -167,6 +173,7 @@
 
 // An instance is frozen with streams and a reservation open, and resumed later.
 func TestMemoryAfterFreeze(t *testing.T) {
+	t.Parallel()
 	site := stage.Start(t, stage.Spec{Entries: 3, Engines: 5, Config: siteConfig()})
 	ctx := testContext(t, 2*time.Minute)
 	var all tally
@@ -188,6 +195,7 @@
 
 // Callers that give up leave no memory behind.
 func TestMemoryAfterCallersLeave(t *testing.T) {
+	t.Parallel()
 	site := stage.Start(t, stage.Spec{Entries: 2, Engines: 3, Config: siteConfig()})
 	ctx := testContext(t, 1500*time.Millisecond)
 	var group sync.WaitGroup
@@ -200,6 +208,7 @@
 
 // A target says that it is leaving while the list still calls it live: it gets no new work, and older news changes nothing.
 func TestLeavingTarget(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	site := stage.Start(t, stage.Spec{Entries: 3, Engines: 2, Config: siteConfig()})
 	leaving := site.Real(site.Targets[0])
@@ -220,6 +229,7 @@
 
 // The list calls a target leaving: every instance stops using it within 5 s.
 func TestLeavingInList(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	site := stage.Start(t, stage.Spec{Entries: 5, Engines: 2, Config: siteConfig()})
 	targets := append([]roster.Target(nil), site.Targets...)
@@ -238,6 +248,7 @@
 
 // Connections between a caller and an instance go silent in either direction: the caller is served elsewhere in time.
 func TestEntrySilent(t *testing.T) {
+	t.Parallel()
 	for _, direction := range []string{"upstream", "downstream"} {
 		t.Run(direction, func(t *testing.T) {
 			site := stage.Start(t, stage.Spec{Entries: 2, Engines: 2, Config: siteConfig()})
--- a/internal/proof/hush_test.go
+++ b/internal/proof/hush_test.go
@@ -12,6 +12,7 @@
 // All open connections of one kind go silent for good while new ones work, three times in a row, under load.
 
 func TestHushedEngineConnections(t *testing.T) {
+	t.Parallel()
 	var proxies []*hushProxy
 	site := stage.Start(t, stage.Spec{
 		Entries: 2, Engines: 2, Config: siteConfig(),
@@ -27,6 +28,7 @@
 }
 
 func TestHushedCallerConnections(t *testing.T) {
+	t.Parallel()
 	site := stage.Start(t, stage.Spec{Entries: 2, Engines: 2, Config: siteConfig()})
 	var proxies []*hushProxy
 	for _, e := range site.Entries {
@@ -41,6 +43,7 @@
 }
 
 func TestHushedStoreConnections(t *testing.T) {
+	t.Parallel()
 	var proxies []*hushProxy
 	site := stage.Start(t, stage.Spec{
 		Entries: 3, Plains: 1, Config: siteConfig(),
--- a/internal/proof/input_test.go
+++ b/internal/proof/input_test.go
@@ -43,6 +43,7 @@
 
 // Every kind of bad input is refused with its reason, as not run, and counted.
 func TestBadInput(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	site := stage.Start(t, stage.Spec{Entries: 1, Engines: 1, Plains: 1, Config: siteConfig()})
 	addr := site.Entries[0].Addr
@@ -79,6 +80,7 @@
 
 // Header bombs and slow bodies end without harm to others.
 func TestHostileConnections(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	site := stage.Start(t, stage.Spec{Entries: 1, Engines: 1, Config: siteConfig()})
 	addr := site.Entries[0].Addr
--- a/internal/proof/member_test.go
+++ b/internal/proof/member_test.go
@@ -51,6 +51,7 @@
 
 // A killed and a frozen instance are detected; the resumed one returns under a higher incarnation.
 func TestDetection(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	site := stage.Start(t, stage.Spec{Entries: 5, Config: siteConfig()})
 	start := time.Now()
@@ -76,6 +77,7 @@
 
 // All instances start at once and find one another.
 func TestSimultaneousRestart(t *testing.T) {
+	t.Parallel()
 	site := stage.Start(t, stage.Spec{Entries: 6, Config: siteConfig()})
 	for _, e := range site.Entries {
 		e.Kill()
@@ -89,6 +91,7 @@
 
 // What one instance sends arrives nowhere, while it hears the others: no view flaps, and it stays in use or is gone for all.
 func TestOneWayCut(t *testing.T) {
+	t.Parallel()
 	site, network := startNetwork(t, stage.Spec{Entries: 4, Engines: 2, Config: siteConfig()})
 	network.set(func(from, _ int) bool { return from == 0 })
 	rest := site.Entries[1:]
@@ -99,6 +102,7 @@
 
 // Two halves take each other for dead, with reads and bookings in both: nothing runs twice, every answer is whole and in time, and no memory is lost.
 func TestHalvesApart(t *testing.T) {
+	t.Parallel()
 	site, network := startNetwork(t, stage.Spec{Entries: 6, Engines: 3, Plains: 2, Config: siteConfig()})
 	ctx := testContext(t, 2*time.Minute)
 	var bookings, reads tally
@@ -135,6 +139,7 @@
 
 // An instance that neither the object API nor any peer answers refuses work, truthfully, and its callers are served elsewhere.
 func TestIsolatedInstance(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	proxies := make(map[int]*faultProxy)
 	site, network := startNetwork(t, stage.Spec{
--- a/internal/proof/order_test.go
+++ b/internal/proof/order_test.go
@@ -48,6 +48,7 @@
 // The issuer of orders is frozen, the configuration changes, another instance takes over, and the first one wakes:
 // no engine stays in a state that the configuration does not want, whether it checks fencing numbers or not.
 func TestOrdersAfterTakeover(t *testing.T) {
+	t.Parallel()
 	for name, fenced := range map[string]bool{"fenced": true, "unfenced": false} {
 		t.Run(name, func(t *testing.T) {
 			args := []string{"-loading", "100ms"}
--- a/internal/proof/path_test.go
+++ b/internal/proof/path_test.go
@@ -15,6 +15,7 @@
 
 // A read is answered whole, and a booking sent at once through two instances runs once.
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	site := stage.Start(t, stage.Spec{Entries: 3, Engines: 2, Plains: 1, Config: siteConfig()})
 	ctx := testContext(t, 30*time.Second)
--- a/internal/proof/random_test.go
+++ b/internal/proof/random_test.go
@@ -15,6 +15,7 @@
 // Two faults at once, drawn by a seed, on prompts of all lengths: each answer is the caller's own and whole, or a failure in
 // time, and afterwards no engine holds memory.
 func TestRandomFaultsOnReads(t *testing.T) {
+	t.Parallel()
 	seed, length := uint64(13), 60*time.Second
 	if testing.Short() {
 		length = 12 * time.Second
@@ -96,6 +97,7 @@
 
 // All instances of an availability zone are killed under load: callers are served by the others in time, and no memory is lost.
 func TestZoneKilled(t *testing.T) {
+	t.Parallel()
 	site := stage.Start(t, stage.Spec{
 		Entries: 6, Engines: 4, Plains: 1, Config: siteConfig(), Zones: []string{"zone-a", "zone-b", "zone-c"},
 	})
--- /dev/null
+++ b/internal/route/plan.go
@@ -0,0 +1,119 @@
+package route
+
+import (
+	"sort"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/config"
+	"github.com/corianderpier/corianderpier/internal/member"
+)
+
+// CellOf returns the cell that a request should ask, and the key of its home.
+func CellOf(view member.View, service string, targets int, prefix uint64) (int, []member.Member) {
+	cells := max(1, targets/cellSize)
+	index := int(prefix % uint64(cells))
+	return index, view.Rank(cellKey(service, index))
+}
+
+// plan places a prompt on the engine with the most room, or on as few engines as it needs; nil means to wait.
+func (l *Ledger) plan(c *cell, a Ask) []Part {
+	service := l.service(c)
+	engines := l.engines(c, a.Model, a.Exclude)
+	room := make(map[string]int, len(engines))
+	running := make(map[string]int, len(engines))
+	for _, g := range c.grants {
+		for _, part := range g.Parts {
+			room[part.Target] -= part.Tokens
+			running[part.Target]++
+		}
+	}
+	for _, n := range engines {
+		room[n.ID] += longRoom(service, n) - c.inherited[n.ID]
+	}
+	now := clock.Now()
+	sort.Slice(engines, func(i, j int) bool {
+		a, b := engines[i], engines[j]
+		if running[a.ID] != running[b.ID] {
+			return running[a.ID] < running[b.ID]
+		}
+		return a.delay(now) < b.delay(now)
+	})
+	for _, n := range engines {
+		if room[n.ID] >= a.Tokens && running[n.ID] < maxBacklog {
+			return []Part{{Target: n.ID, Addr: n.Addr, Tokens: a.Tokens}}
+		}
+	}
+	return spread(engines, room, a, longRoom(service, nil))
+}
+
+// spread places a prompt that is too large for one engine on several, all or nothing.
+func spread(engines []*node, room map[string]int, a Ask, whole int) []Part {
+	if a.Tokens <= whole {
+		return nil // fits one engine once there is room
+	}
+	sort.SliceStable(engines, func(i, j int) bool { return room[engines[i].ID] > room[engines[j].ID] })
+	var parts []Part
+	left := a.Tokens
+	for _, n := range engines {
+		take := min(left, room[n.ID])
+		if take <= a.Output {
+			break // the first engine needs room for the output as well
+		}
+		parts = append(parts, Part{Target: n.ID, Addr: n.Addr, Tokens: take})
+		left -= take
+		if left == 0 {
+			return parts
+		}
+	}
+	return nil
+}
+
+func (l *Ledger) couldFit(c *cell, a Ask) bool {
+	service := l.service(c)
+	total := 0
+	for _, n := range l.engines(c, a.Model, nil) {
+		total += longRoom(service, n)
+	}
+	return a.Tokens <= total
+}
+
+func (l *Ledger) engines(c *cell, model string, exclude []string) []*node {
+	now := clock.Now()
+	excluded := make(map[string]bool, len(exclude))
+	for _, id := range exclude {
+		excluded[id] = true
+	}
+	var all []*node
+	for _, n := range l.Table.nodes {
+		if n.Service == c.service && n.usable(now, Request{Model: model, Exclude: excluded}) {
+			all = append(all, n)
+		}
+	}
+	cells := max(1, len(all)/cellSize)
+	var mine []*node
+	for _, n := range all {
+		if int(xxhash.Sum64String(n.ID)%uint64(cells)) == c.index%cells {
+			mine = append(mine, n)
+		}
+	}
+	return mine
+}
+
+func (l *Ledger) service(c *cell) config.Service {
+	s, _ := l.Config().Service(c.service)
+	return s
+}
+
+// longRoom is how much of an engine's memory long prompts may take together.
+func longRoom(s config.Service, n *node) int {
+	memory := s.Memory
+	if n != nil && n.report.Memory > 0 {
+		memory = n.report.Memory
+	}
+	return memory * s.Room / 100
+}
+
+func cellKey(service string, index int) string { return "cell/" + service + "/" + strconv.Itoa(index) }
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -45,18 +45,6 @@
 	only string // the target that the request is bound to, if any
 }
 
-// Lease is a slot on a target; it is ended exactly once.
-type Lease struct {
-	Target roster.Target
-	table  *Table
-	node   *node
-	tokens int
-	memory int // tokens, with the output
-	rank   int // of its priority
-	first  bool
-	ended  bool
-}
-
 // Table holds what this instance knows of the targets, and the waiting requests. Its state belongs to the control loop.
 type Table struct {
 	Loop   *loop.Loop
@@ -108,7 +96,7 @@
 
 // Acquire waits for a slot on a target that suits the request, or says why there is none.
 func (t *Table) Acquire(ctx context.Context, r Request) (*Lease, error) {
-	w := t.wait(r)
+	w := t.newWait(r)
 	t.waiting.Add(1)
 	defer t.waiting.Add(-1)
 	if !t.Loop.Post(func() { t.enqueue(w) }) {
@@ -134,8 +122,8 @@
 	}
 }
 
-// wait puts a request into the order of its policy: plain baselines know neither customers nor priorities.
-func (t *Table) wait(r Request) *wait {
+// newWait puts a request into the order of its policy: plain baselines know neither customers nor priorities.
+func (t *Table) newWait(r Request) *wait {
 	now := clock.Now()
 	w := &wait{Request: r, since: now, due: r.Deadline, granted: make(chan grant, 1)}
 	if !t.Policy.Priorities {
@@ -144,52 +132,6 @@
 	return w
 }
 
-// Seen takes in a load report that came with an answer.
-func (l *Lease) Seen(load engine.Load) {
-	l.table.Loop.Post(func() { l.table.learn(l.node, load) })
-}
-
-// First tells that the target has processed the prompt.
-func (l *Lease) First() {
-	l.table.Loop.Post(func() {
-		l.settlePrompt()
-		l.table.pump()
-	})
-}
-
-// End gives the slot back and tells whether the target did its work.
-func (l *Lease) End(ok, leaving bool) {
-	l.table.Loop.Post(func() {
-		if l.ended {
-			return
-		}
-		l.ended = true
-		l.settlePrompt()
-		delete(l.node.own, l)
-		l.node.held -= l.memory
-		now := clock.Now()
-		switch {
-		case leaving:
-			l.table.gone(l.node)
-		case ok:
-			l.node.failures = 0
-		default:
-			l.node.failed(now)
-		}
-		l.table.pump()
-	})
-}
-
-func (l *Lease) settlePrompt() {
-	if l.first {
-		return
-	}
-	l.first = true
-	l.node.backlog -= l.tokens
-	l.node.ranked[l.rank] -= l.tokens
-	l.node.busy = false
-}
-
 // Replace takes a new instance list into use.
 func (t *Table) Replace(r roster.Roster) {
 	t.Loop.Post(func() {
@@ -385,15 +327,6 @@
 	return kept
 }
 
-func (t *Table) lease(n *node, r Request) *Lease {
-	l := &Lease{Target: n.Target, table: t, node: n, tokens: r.Tokens, memory: r.Tokens + r.Output, rank: rank(r.Priority)}
-	n.own[l] = true
-	n.held += l.memory
-	n.backlog += r.Tokens
-	n.ranked[l.rank] += r.Tokens
-	return l
-}
-
 // candidates are the targets of this instance's subset that can run the request, or all that can if the subset has none.
 func (t *Table) candidates(service config.Service, r Request) []*node {
 	now := clock.Now()
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -132,9 +132,11 @@
 	table, ledger := newTable(t, 4) // 200,000 tokens for long prompts on each
 	table.Loop.Call(func() {})
 	ask := func(id string, tokens int, left clock.Millis) Grant {
-		return ledger.Reserve(context.Background(), Ask{
+		g, err := ledger.Reserve(context.Background(), Ask{
 			ID: id, Owner: "entry-0/1", Service: "models", Tokens: tokens, Output: 1, Deadline: clock.Now() + left,
 		})
+		is.NoErr(err)
+		return g
 	}
 	first := ask("first", 500_000, clock.Second)
 	is.Equal(len(first.Parts), 3)
@@ -156,9 +158,27 @@
 	is := is.New(t)
 	_, ledger := newTable(t, 1)
 	ask := Ask{ID: "a", Owner: "entry-9/1", Service: "models", Tokens: 150_000, Output: 1, Deadline: clock.Now() + clock.Minute}
-	is.Equal(len(ledger.Reserve(context.Background(), ask).Parts), 1)
+	first, err := ledger.Reserve(context.Background(), ask)
+	is.NoErr(err)
+	is.Equal(len(first.Parts), 1)
 	ask.ID, ask.Owner, ask.Deadline = "b", "entry-0/1", clock.Now()+5*clock.Second
 	start := time.Now()
-	is.Equal(len(ledger.Reserve(context.Background(), ask).Parts), 1)
+	second, err := ledger.Reserve(context.Background(), ask)
+	is.NoErr(err)
+	is.Equal(len(second.Parts), 1)
 	is.True(time.Since(start) > grantGrace.Duration())
 }
+
+// A home that stops waiting, as when it ends, says so and does not call the deadline passed.
+func TestHomeStopsWaiting(t *testing.T) {
+	is := is.New(t)
+	_, ledger := newTable(t, 1)
+	ask := Ask{ID: "a", Owner: "entry-0/1", Service: "models", Tokens: 200_000, Output: 1, Deadline: clock.Now() + clock.Minute}
+	_, err := ledger.Reserve(context.Background(), ask)
+	is.NoErr(err)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	ask.ID = "b"
+	_, err = ledger.Reserve(ctx, ask)
+	is.True(err != nil)
+}
--- /dev/null
+++ b/internal/stage/process.go
@@ -0,0 +1,155 @@
+package stage
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/corianderpier/corianderpier/internal/entry"
+)
+
+// Process is one running program.
+type Process struct {
+	Name  string
+	Addr  string // for callers
+	Peer  string
+	Admin string
+
+	cmd  *exec.Cmd
+	log  *logBuffer
+	done chan struct{}
+	err  error
+}
+
+// Status asks an entry instance about itself.
+func (p *Process) Status() (entry.Status, error) {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + p.Admin + "/status")
+	if err != nil {
+		return entry.Status{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var status entry.Status
+	return status, json.NewDecoder(resp.Body).Decode(&status)
+}
+
+// Metric returns the sum of all series whose names begin with the prefix.
+func (p *Process) Metric(prefix string) float64 {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + p.Admin + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	total := 0.0
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if !strings.HasPrefix(lines.Text(), prefix) {
+			continue
+		}
+		fields := strings.Fields(lines.Text())
+		var value float64
+		if _, err := fmt.Sscan(fields[len(fields)-1], &value); err == nil {
+			total += value
+		}
+	}
+	return total
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Freeze stops the process without ending it.
+func (p *Process) Freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Resume lets a frozen process go on.
+func (p *Process) Resume() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Drain begins a planned stop.
+func (p *Process) Drain() { _ = p.cmd.Process.Signal(syscall.SIGTERM) }
+
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Wait returns how the process ended, or an error after the limit.
+func (p *Process) Wait(limit time.Duration) error {
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(limit):
+		return context.DeadlineExceeded
+	}
+}
+
+// Pid returns the process id.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
+// Log returns what the process has printed.
+func (p *Process) Log() string { return p.log.String() }
+
+func (p *Process) firstLine(t testing.TB) string {
+	t.Helper()
+	return strings.TrimSpace(p.waitLog(t, ""))
+}
+
+// waitLog returns the first complete line that contains the text.
+func (p *Process) waitLog(t testing.TB, text string) string {
+	t.Helper()
+	var found string
+	Eventually(t, startLimit, p.Name+" has started", func() bool {
+		lines := strings.SplitAfter(p.log.String(), "\n")
+		for _, line := range lines {
+			if strings.HasSuffix(line, "\n") && strings.Contains(line, text) {
+				found = line
+				return true
+			}
+		}
+		if p.Ended() {
+			t.Fatalf("%s ended: %s", p.Name, p.log.String())
+		}
+		return false
+	})
+	return found
+}
+
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write appends to the log.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// String returns all of the log.
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+var _ io.Writer = (*logBuffer)(nil)
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -1,19 +1,16 @@
 package stage
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -52,6 +49,7 @@
 	Targets []roster.Target
 	Entries []*Process
 
+	mu    sync.Mutex // for Entries
 	t     testing.TB
 	bin   string
 	addrs map[string]string // own addresses of the targets
@@ -59,19 +57,6 @@
 	all   []*Process
 }
 
-// Process is one running program.
-type Process struct {
-	Name  string
-	Addr  string // for callers
-	Peer  string
-	Admin string
-
-	cmd  *exec.Cmd
-	log  *logBuffer
-	done chan struct{}
-	err  error
-}
-
 var (
 	buildOnce sync.Once
 	buildDir  string
@@ -138,6 +123,8 @@
 	s.t.Helper()
 	i := len(s.Entries)
 	p := s.StartEntry(fmt.Sprintf("entry-%d", i), i, args...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.Entries = append(s.Entries, p)
 	return p
 }
@@ -205,6 +192,8 @@
 
 // Caller returns a client for a customer.
 func (s *Site) Caller(customer string) *pier.Client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	c := &pier.Client{Customer: customer}
 	for _, e := range s.Entries {
 		c.Seeds = append(c.Seeds, e.Addr)
@@ -383,108 +372,6 @@
 	return p
 }
 
-// Status asks an entry instance about itself.
-func (p *Process) Status() (entry.Status, error) {
-	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + p.Admin + "/status")
-	if err != nil {
-		return entry.Status{}, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var status entry.Status
-	return status, json.NewDecoder(resp.Body).Decode(&status)
-}
-
-// Metric returns the sum of all series whose names begin with the prefix.
-func (p *Process) Metric(prefix string) float64 {
-	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + p.Admin + "/metrics")
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = resp.Body.Close() }()
-	total := 0.0
-	lines := bufio.NewScanner(resp.Body)
-	for lines.Scan() {
-		if !strings.HasPrefix(lines.Text(), prefix) {
-			continue
-		}
-		fields := strings.Fields(lines.Text())
-		var value float64
-		if _, err := fmt.Sscan(fields[len(fields)-1], &value); err == nil {
-			total += value
-		}
-	}
-	return total
-}
-
-// Kill ends the process at once.
-func (p *Process) Kill() {
-	_ = p.cmd.Process.Signal(syscall.SIGCONT)
-	_ = p.cmd.Process.Kill()
-	<-p.done
-}
-
-// Freeze stops the process without ending it.
-func (p *Process) Freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
-
-// Resume lets a frozen process go on.
-func (p *Process) Resume() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
-
-// Drain begins a planned stop.
-func (p *Process) Drain() { _ = p.cmd.Process.Signal(syscall.SIGTERM) }
-
-// Ended reports whether the process has ended.
-func (p *Process) Ended() bool {
-	select {
-	case <-p.done:
-		return true
-	default:
-		return false
-	}
-}
-
-// Wait returns how the process ended, or an error after the limit.
-func (p *Process) Wait(limit time.Duration) error {
-	select {
-	case <-p.done:
-		return p.err
-	case <-time.After(limit):
-		return context.DeadlineExceeded
-	}
-}
-
-// Pid returns the process id.
-func (p *Process) Pid() int { return p.cmd.Process.Pid }
-
-// Log returns what the process has printed.
-func (p *Process) Log() string { return p.log.String() }
-
-func (p *Process) firstLine(t testing.TB) string {
-	t.Helper()
-	return strings.TrimSpace(p.waitLog(t, ""))
-}
-
-// waitLog returns the first complete line that contains the text.
-func (p *Process) waitLog(t testing.TB, text string) string {
-	t.Helper()
-	var found string
-	Eventually(t, startLimit, p.Name+" has started", func() bool {
-		lines := strings.SplitAfter(p.log.String(), "\n")
-		for _, line := range lines {
-			if strings.HasSuffix(line, "\n") && strings.Contains(line, text) {
-				found = line
-				return true
-			}
-		}
-		if p.Ended() {
-			t.Fatalf("%s ended: %s", p.Name, p.log.String())
-		}
-		return false
-	})
-	return found
-}
-
 // Eventually fails the test unless the condition holds within the limit.
 func Eventually(t testing.TB, limit time.Duration, what string, holds func() bool) {
 	t.Helper()
@@ -521,24 +408,3 @@
 	}
 	return models
 }
-
-type logBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-// Write appends to the log.
-func (b *logBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.Write(p)
-}
-
-// String returns all of the log.
-func (b *logBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.String()
-}
-
-var _ io.Writer = (*logBuffer)(nil)
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -12,7 +12,7 @@
 	skip="$skip|^$name\$"
 done
 status=0
-go test -count=1 -v -timeout 20m -skip "$skip" ./internal/proof ./internal/oplog >"$out" 2>&1 || status=$?
+go test -count=1 -v -timeout 20m -parallel 2 -skip "$skip" ./internal/proof ./internal/oplog >"$out" 2>&1 || status=$?
 
 # point NAME SEEDS TESTS prints how many of the tests passed and failed.
 point() {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -21,7 +21,7 @@
 
 go test -race -count=1 -timeout 10m -skip "$skip" ./cmd/... ./pkg/... \
 	$(go list ./internal/... | grep -v /internal/proof)
-go test -race -count=1 -timeout 10m -skip "$skip" -short ./internal/proof
+go test -race -count=1 -timeout 10m -parallel 3 -skip "$skip" -short ./internal/proof
 if [ -f spec/check.sh ]; then
 	sh spec/check.sh
 fi
