--- a/internal/sweep/sweep.go
+++ b/internal/sweep/sweep.go
@@ -18,8 +18,10 @@
 const (
 	sweepPeriod   = 2 * clock.Second
 	releasePeriod = 300 * clock.Millis(1)
-	releaseLimit  = 5 * clock.Minute // for which a release is repeated
-	settleTime    = 5 * clock.Second // after the start, before the view is trusted
+	releaseLimit  = 5 * clock.Minute  // for which a release is repeated
+	alertTime     = clock.Minute      // after a change of the view, for which each sweep looks at the engines
+	quietPeriod   = 30 * clock.Second // between looks when the view has not changed
+	settleTime    = 5 * clock.Second  // after the start, before the view is trusted
 )
 
 // Grace is how long an owner must have been gone before its memory is reclaimed.
@@ -42,6 +44,9 @@
 	pending map[release]clock.Millis // when each release was asked for
 	absent  map[string]clock.Millis  // since when each owner has been missing
 	started clock.Millis
+	version uint64       // of the view at the last sweep
+	changed clock.Millis // when the view last changed
+	looked  clock.Millis // when the engines were last looked at
 }
 
 type release struct{ addr, id string }
@@ -119,6 +124,9 @@
 		return
 	}
 	view := s.View()
+	if !s.due(view.Version) {
+		return
+	}
 	for _, t := range s.Targets() {
 		if !view.Home(s.Self, "sweep/"+t.ID, 1) {
 			continue
@@ -137,6 +145,21 @@
 	}
 }
 
+// due reports whether to look at the engines: often while owners may have gone, and seldom otherwise.
+func (s *Sweeper) due(version uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := clock.Now()
+	if version != s.version {
+		s.version, s.changed = version, now
+	}
+	if now-s.changed > alertTime && now-s.looked < quietPeriod {
+		return false
+	}
+	s.looked = now
+	return true
+}
+
 // reclaimable says why a holding has no owner, or returns "".
 func (s *Sweeper) reclaimable(ctx context.Context, view member.View, h engine.Holding) string {
 	if clock.Millis(h.Age) > s.Longest()+Expiry {
