entry: Split the assembly from the run

Cause: Run and assemble were the longest functions of the product, and the programs had no doc.go.

Ruled out: a container of slices with a common interface; they share only Run.

After: entry.go starts and serves, assemble.go connects the slices; behaviour as before, tests unchanged.

--- /dev/null
+++ b/cmd/corianderpier/doc.go
@@ -0,0 +1,2 @@
+// Command corianderpier is one entry instance of the serving layer.
+package main
--- a/cmd/corianderpier/main.go
+++ b/cmd/corianderpier/main.go
@@ -1,4 +1,3 @@
-// Command corianderpier is one entry instance of the serving layer.
 package main
 
 import (
--- /dev/null
+++ b/cmd/pierctl/doc.go
@@ -0,0 +1,2 @@
+// Command pierctl is the operators' command.
+package main
--- a/cmd/pierctl/main.go
+++ b/cmd/pierctl/main.go
@@ -1,4 +1,3 @@
-// Command pierctl is the operators' command.
 package main
 
 import (
--- a/cmd/pierload/main.go
+++ b/cmd/pierload/main.go
@@ -1,5 +1,3 @@
-// Command pierload sends requests to a site: the examples, or a measured load.
-// It also publishes configuration and instance list for sites of stand-ins.
 package main
 
 import (
--- /dev/null
+++ b/internal/entry/assemble.go
@@ -0,0 +1,165 @@
+package entry
+
+import (
+	"context"
+	"encoding/hex"
+	"net"
+	"strconv"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/config"
+	"github.com/corianderpier/corianderpier/internal/feed"
+	"github.com/corianderpier/corianderpier/internal/fence"
+	"github.com/corianderpier/corianderpier/internal/flow"
+	"github.com/corianderpier/corianderpier/internal/front"
+	"github.com/corianderpier/corianderpier/internal/member"
+	"github.com/corianderpier/corianderpier/internal/oplog"
+	"github.com/corianderpier/corianderpier/internal/order"
+	"github.com/corianderpier/corianderpier/internal/peer"
+	"github.com/corianderpier/corianderpier/internal/roster"
+	"github.com/corianderpier/corianderpier/internal/route"
+	"github.com/corianderpier/corianderpier/internal/store"
+	"github.com/corianderpier/corianderpier/internal/sweep"
+	"github.com/corianderpier/corianderpier/internal/target"
+)
+
+// assemble connects the slices.
+func (e *Entry) assemble(policy route.Policy) {
+	owner := e.self.Owner()
+	key, _ := hex.DecodeString(e.Settings.Key)
+	e.store = &store.Client{Base: e.Settings.Store}
+	e.list = &store.Client{Base: e.Settings.Instances}
+	e.links = &target.Links{}
+	e.links.Start()
+	e.assembleGroup(key)
+	e.configs = e.feed("config", e.store, config.ObjectName, callConfig, e.acceptConfig)
+	e.targets = e.feed("targets", e.list, roster.ObjectName, callTargets, e.acceptRoster)
+	e.table = &route.Table{
+		Loop: e.loop, Policy: policy, Self: e.self.Name, Config: e.config, View: e.group.View,
+		Report: e.links.Load, OnGone: e.group.MarkLeaving,
+	}
+	e.table.Start()
+	e.ledger = &route.Ledger{Loop: e.loop, Table: e.table, Config: e.config, View: e.group.View, Held: e.links.Held}
+	e.ledger.Start()
+	caller := &oplog.Caller{
+		Self: owner, Shards: func() int { return e.config().Operations.Shards },
+		Rank: func(key string) []member.Member { return e.group.View().Rank(key) },
+		Open: e.open, Submit: e.submit,
+	}
+	e.calls = &flow.Calls{Table: e.table, Links: e.links, Log: caller}
+	e.log = &oplog.Log{
+		Self: owner, Settings: func() config.Operations { return e.config().Operations },
+		Get: e.store.Get, Put: e.store.Put, Delete: e.store.Delete,
+		Dispatch: e.calls.Dispatch, Forward: e.settle,
+		Alive: func(writer string) bool { return e.group.View().Has(writer) },
+	}
+	e.sweeper = &sweep.Sweeper{
+		Self: e.self.Name, View: e.group.View, Targets: e.engines, Longest: e.longestDeadline,
+		Held: e.links.Held, Release: e.links.Release, Attached: e.attached,
+	}
+	e.sweeper.Start()
+	e.orders = &order.Writer{
+		Self: owner, Store: fence.Store{Get: e.store.Get, Put: e.store.Put}, Config: e.config, Targets: e.table.Targets,
+		Home: func(key string) bool { return e.group.View().Home(e.self.Name, key, 1) },
+		Read: e.links.State, Send: e.links.Order,
+	}
+	e.prompts = &flow.Prompts{
+		Owner: owner, Table: e.table, Links: e.links, Config: e.config, View: e.group.View,
+		Free: e.sweeper.Free, Reserve: e.reserve, Release: e.release,
+	}
+	e.front = &front.Front{
+		Self: e.self.Name, View: e.group.View, Refuse: e.refuse, Prompts: e.prompts, Calls: e.calls,
+		Config:      func() (config.Config, uint64) { return e.config(), e.configs.Current().Version },
+		Incarnation: strconv.FormatInt(int64(e.started), 36),
+	}
+}
+
+func (e *Entry) assembleGroup(key []byte) {
+	e.group = &member.Group{Loop: e.loop}
+	e.peers = &peer.Node{Addr: e.Settings.Peer, Key: key}
+	e.peers.OnPacket = func(_ net.Addr, plain []byte) { e.group.Receive(plain) }
+	e.group.Send = e.peers.Send
+	e.group.Direct = func(ctx context.Context, addr string) error {
+		return e.peers.Call(ctx, addr, callPing, none{}, &none{})
+	}
+	e.group.Sync = func(ctx context.Context, addr string, l member.List) (member.List, error) {
+		var theirs member.List
+		err := e.peers.Call(ctx, addr, callSync, l, &theirs)
+		return theirs, err
+	}
+	e.group.Versions = func() member.Versions {
+		return member.Versions{Config: e.configs.Current().Version, Targets: e.targets.Current().Version}
+	}
+	e.group.OnVersion = func(from member.Member, v member.Versions) {
+		e.configs.Hint(v.Config, from.Peer)
+		e.targets.Hint(v.Targets, from.Peer)
+	}
+	e.group.OnMark = func(id string) { e.table.Mark(id) }
+}
+
+// feed follows an object of a source that speaks the protocol of the object API.
+func (e *Entry) feed(name string, source *store.Client, object, call string, accept func(store.Object) error) *feed.Feed {
+	f := &feed.Feed{
+		Name: name,
+		Read: func(ctx context.Context) (store.Object, error) { return source.Get(ctx, object) },
+		Watch: func(ctx context.Context, above uint64, wait clock.Millis) (store.Object, error) {
+			return source.Watch(ctx, object, above, wait)
+		},
+		Fetch: func(ctx context.Context, addr string) (store.Object, error) {
+			var o store.Object
+			err := e.peers.Call(ctx, addr, call, none{}, &o)
+			return o, err
+		},
+		Peers:    e.peerAddrs,
+		Watching: func() bool { return e.group.View().Home(e.self.Name, "watch/"+name, watchers) },
+		Period:   func() clock.Millis { return max(minPoll, clock.Millis(len(e.group.View().Members))*pollShare) },
+		Accept:   accept,
+	}
+	f.Start()
+	return f
+}
+
+func (e *Entry) peerAddrs() []string {
+	addrs := e.Settings.seeds()
+	for _, m := range e.group.View().Live() {
+		if !e.local(m) {
+			addrs = append(addrs, m.Peer)
+		}
+	}
+	return addrs
+}
+
+func (e *Entry) engines() []roster.Target {
+	var all []roster.Target
+	r := e.roster.Load()
+	if r == nil {
+		return nil
+	}
+	for _, s := range e.config().Services {
+		if s.Kind == config.Engine {
+			all = append(all, r.Of(s.Name)...)
+		}
+	}
+	return all
+}
+
+func (e *Entry) longestDeadline() clock.Millis {
+	longest := clock.Minute
+	for _, p := range e.config().Profiles {
+		longest = max(longest, p.Deadline)
+	}
+	return longest
+}
+
+func (e *Entry) attached(ctx context.Context, addr, attempt string) bool {
+	held, err := e.links.Held(ctx, addr)
+	if err != nil {
+		return false
+	}
+	for _, h := range held {
+		if h.ID == attempt {
+			return h.Attached
+		}
+	}
+	return false
+}
