flow: End a request whose caller cannot be written to

Cause: a failed write to the caller was taken for a failed answer of the engine: the request was resumed twice, tried on other engines, and held against them. And each frame, not the first alone, told the table that the prompt is processed. Both found by reading.

Ruled out: leaving it to the connection's context, which ends late when a caller stops reading.

Conclusion: the caller's end and the engine's are told apart.

--- a/internal/flow/prompt.go
+++ b/internal/flow/prompt.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
@@ -62,6 +63,7 @@
 	attempts int
 	reached  bool // an engine may have processed a part
 	last     error
+	gone     error // why the caller cannot be written to any more
 	emit     func(f wire.Frame) error
 }
 
@@ -97,21 +99,33 @@
 	defer where.free()
 	err = p.stream(ctx, r, id, where)
 	leaving := err != nil && target.KindOf(err) == target.Leaving
-	where.lease.End(err == nil || ctx.Err() != nil, leaving)
+	where.lease.End(err == nil || ctx.Err() != nil || r.gone != nil, leaving)
 	if err == nil {
 		return true, nil
 	}
 	p.Free(where.lease.Target.Addr, id)
 	r.last = err
 	r.exclude[where.lease.Target.ID] = true
-	if ctx.Err() != nil {
-		return false, r.fail("stream", wire.ReasonDeadline, err)
+	if reason, over := r.over(ctx); over {
+		return false, r.fail("stream", reason, err)
 	}
 	slog.Info("attempt failed", "request", r.ID, "attempt", id, "target", where.lease.Target.ID, "error", err)
 	countRetry(string(target.KindOf(err)))
 	return false, nil
 }
 
+// over reports whether no further attempt makes sense, and why.
+func (r *run) over(ctx context.Context) (wire.Reason, bool) {
+	switch {
+	case r.gone != nil || eris.Is(ctx.Err(), context.Canceled):
+		return wire.ReasonCallerGone, true
+	case ctx.Err() != nil:
+		return wire.ReasonDeadline, true
+	default:
+		return "", false
+	}
+}
+
 // stream passes the answer of one attempt on and resumes it on a new connection when the old one fails.
 func (p *Prompts) stream(ctx context.Context, r *run, id string, where place) error {
 	addr := where.lease.Target.Addr
@@ -119,10 +133,15 @@
 		Attempt: id, Owner: p.Owner, Model: r.Profile.Model, Prompt: r.Body, PromptTokens: r.Tokens,
 		MaxTokens: r.Output, Priority: p.priority(r), Spans: where.spans,
 	}
+	first := true
 	pass := func(f engine.Frame) error {
-		where.lease.First()
+		if first {
+			first = false
+			where.lease.First()
+		}
 		out := wire.Frame{Request: r.ID, Offset: f.Offset, Text: f.Text, Total: f.Total, Done: f.Done, Target: where.lease.Target.ID}
-		return r.emit(out)
+		r.gone = r.emit(out)
+		return r.gone
 	}
 	for resumes := 0; ; resumes++ {
 		ask.From = r.offset
@@ -131,7 +150,7 @@
 		r.reached = r.reached || err == nil || !untouched(err)
 		kind := target.KindOf(err)
 		again := kind == target.Broken || kind == target.Silent
-		if err == nil || !again || resumes == maxResumes || ctx.Err() != nil {
+		if err == nil || !again || resumes == maxResumes || ctx.Err() != nil || r.gone != nil {
 			return err
 		}
 		countRetry("resume")
--- /dev/null
+++ b/internal/flow/prompt_test.go
@@ -0,0 +1,92 @@
+package flow
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/config"
+	"github.com/corianderpier/corianderpier/internal/fake"
+	"github.com/corianderpier/corianderpier/internal/loop"
+	"github.com/corianderpier/corianderpier/internal/member"
+	"github.com/corianderpier/corianderpier/internal/roster"
+	"github.com/corianderpier/corianderpier/internal/route"
+	"github.com/corianderpier/corianderpier/internal/target"
+	"github.com/corianderpier/corianderpier/pkg/wire"
+)
+
+// newPrompts returns a flow over one stand-in engine, and the names of the memory that it released.
+func newPrompts(t *testing.T) (*Prompts, *fake.Engine, chan string) {
+	t.Helper()
+	e := fake.NewEngine("engine-0")
+	server := httptest.NewServer(e)
+	t.Cleanup(server.Close)
+	cfg := config.Config{Services: []config.Service{{Name: "models", Kind: config.Engine, Slots: 8, Long: 50_000, Room: 70, Memory: 400_000}}}
+	view := member.View{Members: []member.Member{{Name: "entry-0", Born: 1}}}
+	policy, _ := route.PolicyNamed("balanced")
+	links := &target.Links{}
+	links.Start()
+	table := &route.Table{
+		Loop: loop.New(), Policy: policy, Self: "entry-0",
+		Config: func() config.Config { return cfg }, View: func() member.View { return view },
+	}
+	table.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = table.Loop.Run(ctx) }()
+	go func() { _ = table.Run(ctx) }()
+	addr := strings.TrimPrefix(server.URL, "http://")
+	table.Replace(roster.Roster{Targets: []roster.Target{{ID: "engine-0", Service: "models", Addr: addr, State: roster.Live}}})
+	freed := make(chan string, 16)
+	p := &Prompts{
+		Owner: "entry-0/1", Table: table, Links: links,
+		Config: table.Config, View: table.View, Free: func(_, id string) { freed <- id },
+	}
+	return p, e, freed
+}
+
+func testJob() Job {
+	return Job{
+		ID: "r", Customer: config.Customer{Name: "importer", Share: 1}, Body: "prompt", Tokens: 10, Output: 20,
+		Profile: config.Profile{Name: "status", Service: "models"}, Deadline: clock.Now() + 5*clock.Second,
+	}
+}
+
+// A caller that cannot be written to ends its request at once, frees its memory, and is not held against the engine.
+func TestCallerGone(t *testing.T) {
+	is := is.New(t)
+	p, _, freed := newPrompts(t)
+	start := time.Now()
+	frames := 0
+	err := p.Run(context.Background(), testJob(), func(wire.Frame) error {
+		frames++
+		return eris.New("connection reset")
+	})
+	reason, _ := Fault(err)
+	is.Equal(reason, wire.ReasonCallerGone)
+	is.Equal(frames, 1) // no resume and no further attempt
+	is.Equal(<-freed, "r-1")
+	is.True(time.Since(start) < time.Second)
+	is.NoErr(p.Run(context.Background(), testJob(), func(wire.Frame) error { return nil }))
+}
+
+// A cut answer is resumed at its offset, and the caller sees each byte once.
+func TestResume(t *testing.T) {
+	is := is.New(t)
+	p, e, _ := newPrompts(t)
+	e.SetFault(fake.EngineFault{Cut: 3, Times: 1})
+	text := ""
+	err := p.Run(context.Background(), testJob(), func(f wire.Frame) error {
+		is.Equal(f.Offset, len(text))
+		text += f.Text
+		return nil
+	})
+	is.NoErr(err)
+	is.Equal(text, fake.Answer("prompt", 20))
+}
--- a/pkg/wire/reason.go
+++ b/pkg/wire/reason.go
@@ -25,6 +25,7 @@
 	ReasonLogUnavailable  Reason = "log_unavailable"
 	ReasonOutcomeLost     Reason = "outcome_lost"
 	ReasonMemory          Reason = "entry_memory"
+	ReasonCallerGone      Reason = "caller_gone"
 )
 
 // Reasons lists every reason, for documentation and counters.
@@ -34,7 +35,7 @@
 		ReasonMissingKey, ReasonKeyConflict, ReasonTokenLimit, ReasonNeverFits,
 		ReasonNoTarget, ReasonOverload, ReasonCustomerLimit, ReasonProfileLimit,
 		ReasonDeadline, ReasonDraining, ReasonNotReady, ReasonIsolated,
-		ReasonTargetFailed, ReasonLogUnavailable, ReasonOutcomeLost, ReasonMemory,
+		ReasonTargetFailed, ReasonLogUnavailable, ReasonOutcomeLost, ReasonMemory, ReasonCallerGone,
 	}
 }
 
