oplog: Read the count of updates under its lock

Ruled out: the log itself; the report names the test's own line. The dispatch now takes its attempt and operation before its goroutine starts, so that nothing of an entry is read outside the shard's loop.

Conclusion: the flaw was in the test; no check was changed.

--- a/internal/oplog/log_test.go
+++ b/internal/oplog/log_test.go
@@ -488,5 +488,7 @@
 			t.Errorf("operation %s ran %d times", key, n)
 		}
 	}
+	c.memory.mu.Lock()
+	defer c.memory.mu.Unlock()
 	t.Logf("verdicts: %v, updates: %d", counts, c.memory.puts)
 }
--- a/internal/oplog/shard.go
+++ b/internal/oplog/shard.go
@@ -219,11 +219,12 @@
 
 func (s *shard) dispatch(e *entry) {
 	e.dispatched = true
+	attempt, op := e.Attempt, e.op
 	go func() {
-		wait := e.op.Deadline - clock.Now()
+		wait := op.Deadline - clock.Now()
 		ctx, cancel := context.WithTimeout(s.log.ctx, wait.Duration())
 		defer cancel()
-		result := s.log.Dispatch(ctx, e.Attempt, e.op)
+		result := s.log.Dispatch(ctx, attempt, op)
 		s.loop.Post(func() { s.finish(e, result) })
 	}()
 }
