order: Say that a service, not a cell, has one writer

Cause: the package's comments spoke of cells of engines, while one home writes all orders of a service, as CAPACITY.md says.

Ruled out: renaming the type in the same commit; only comments change here.

Conclusion: cells for orders stay open, listed in CAPACITY.md.

--- a/internal/order/doc.go
+++ b/internal/order/doc.go
@@ -1,7 +1,7 @@
 // Package order brings engines to the model, adapter, version and role that
 // the configuration wants.
 //
-// One instance, the home of a cell of engines, writes the cell's orders. It
+// One instance, the home of a service, writes the orders of its engines. It
 // records the wanted state under its term before it sends anything, sends the
 // term along as the fencing number, and reads the engines back until they are
 // as wanted. Engines that check the number refuse a former writer. For those
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -59,14 +59,14 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// page is the value of a cell's object.
+// page is the value of a service's object.
 type page struct {
 	Term   uint64                  `cbor:"1,keyasint"`
 	Token  string                  `cbor:"2,keyasint"`
 	Orders map[string]engine.State `cbor:"3,keyasint"` // by target
 }
 
-// Writer orders the engines of the cells whose home this instance is.
+// Writer orders the engines of the services whose home this instance is.
 type Writer struct {
 	Self    string // instance and incarnation
 	Store   fence.Store
