clock: Keep time by the monotonic clock

Cause: deadlines were points of the time of day, which may step by seconds on the users' machines; a step would have ended requests early or kept them.

Ruled out: a second clock type for deadlines; the points in time stay near the epoch, so that instances can still compare them.

Conclusion: the clock is anchored at the start of the process.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -15,8 +15,11 @@
 	Hour          = 60 * Minute
 )
 
-// Now returns the wall clock time.
-func Now() Millis { return Millis(time.Now().UnixMilli()) }
+// started anchors the clock; its monotonic reading makes later ones immune to steps of the time of day.
+var started = time.Now()
+
+// Now returns the time since the Unix epoch as of the start of the process, advanced by the monotonic clock.
+func Now() Millis { return Of(time.Duration(started.UnixNano()) + time.Since(started)) }
 
 // Of converts a standard duration, rounding down.
 func Of(d time.Duration) Millis { return Millis(d.Milliseconds()) }
@@ -24,8 +27,10 @@
 // Duration converts a span to the standard type.
 func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
 
-// Time converts a point in time to the standard type.
-func (m Millis) Time() time.Time { return time.UnixMilli(int64(m)) }
+// Time converts a point in time to the standard type, with a monotonic reading.
+func (m Millis) Time() time.Time {
+	return started.Add(m.Duration() - time.Duration(started.UnixNano()))
+}
 
 // String formats a span such as "1.5s".
 func (m Millis) String() string { return m.Duration().String() }
