feed: Pause between watches, and ask the peer that told of a version first

A hint was followed at the store first, which may be down, and each change cost every instance a watch.

Ruled out: hints in a loop (the log of calls shows watches only, between platform_down's start and end); retries inside net/http.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -17,6 +17,7 @@
 	watchTime   = 10 * clock.Second // of one watch call
 	startPeriod = 200 * clock.Millis(1)
 	retryPause  = 500 * clock.Millis(1)
+	gatherPause = 100 * clock.Millis(1) // after a change, so that changes in quick succession cost one watch
 )
 
 // Feed follows one object.
@@ -29,6 +30,7 @@
 	Watching func() bool                                                  // whether this instance is to watch
 	Period   func() clock.Millis                                          // between looks at the source by an instance that does not watch
 	Accept   func(o store.Object) error                                   // takes a newer version into force
+	Wait     clock.Millis                                                 // of one watch call; zero for the default
 
 	mu      sync.Mutex
 	current atomic.Pointer[store.Object]
@@ -117,8 +119,12 @@
 			pause(ctx, retryPause)
 			continue
 		}
-		ctx, cancel := context.WithTimeout(ctx, 2*watchTime.Duration())
-		o, err := f.Watch(ctx, f.Current().Version, watchTime)
+		wait := f.Wait
+		if wait == 0 {
+			wait = watchTime
+		}
+		watchCtx, cancel := context.WithTimeout(ctx, 2*wait.Duration())
+		o, err := f.Watch(watchCtx, f.Current().Version, wait)
 		cancel()
 		if err != nil {
 			f.failed("watch", err)
@@ -126,7 +132,9 @@
 			continue
 		}
 		f.reached.Store(int64(clock.Now()))
-		f.take(o)
+		if f.take(o) {
+			pause(ctx, gatherPause)
+		}
 	}
 }
 
@@ -148,11 +156,11 @@
 	return f.Read(ctx)
 }
 
-// follow reads a version that a peer is known to have.
+// follow reads a version that a peer is known to have: from the peer, since the source may be slow or down.
 func (f *Feed) follow(ctx context.Context, h hint) {
-	f.poll(ctx)
+	f.fetch(ctx, h.peer)
 	if f.Current().Version < h.version {
-		f.fetch(ctx, h.peer)
+		f.poll(ctx)
 	}
 }
 
@@ -167,27 +175,29 @@
 	f.take(o)
 }
 
-func (f *Feed) take(o store.Object) {
+// take puts a newer version into force and reports whether it was newer.
+func (f *Feed) take(o store.Object) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	highest := f.Current().Version
 	if o.Version < highest {
 		metrics.GetOrCreateCounter(`pier_feed_refused_total{feed="` + f.Name + `",reason="older"}`).Inc()
-		return
+		return false
 	}
 	if o.Version == highest || len(o.Value) == 0 {
-		return
+		return false
 	}
 	if err := f.Accept(o); err != nil {
 		metrics.GetOrCreateCounter(`pier_feed_refused_total{feed="` + f.Name + `",reason="invalid"}`).Inc()
 		slog.Error("object refused", "feed", f.Name, "version", o.Version, "error", err)
-		return
+		return false
 	}
 	f.current.Store(&o)
 	if o.Version >= f.known.Load() {
 		f.behind.Store(0)
 	}
 	slog.Info("object in force", "feed", f.Name, "version", o.Version)
+	return true
 }
 
 func (f *Feed) failed(call string, err error) {
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,52 @@
+package feed
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/store"
+)
+
+// newFeed returns a feed that has version 1 and whose watches are answered by a function.
+func newFeed(t *testing.T, watch func(calls int64) (store.Object, error)) (*Feed, *atomic.Int64) {
+	t.Helper()
+	calls := &atomic.Int64{}
+	f := &Feed{
+		Name: "test", Peers: func() []string { return nil }, Watching: func() bool { return true },
+		Period: func() clock.Millis { return clock.Minute }, Accept: func(store.Object) error { return nil },
+		Read:  func(context.Context) (store.Object, error) { return store.Object{Version: 1, Value: []byte("1")}, nil },
+		Watch: func(context.Context, uint64, clock.Millis) (store.Object, error) { return watch(calls.Add(1)) },
+		Fetch: func(context.Context, string) (store.Object, error) { return store.Object{}, eris.New("no peer") },
+	}
+	f.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = f.Run(ctx) }()
+	return f, calls
+}
+
+// While the source refuses, it is asked at a bounded rate.
+func TestWatchOfFailingSource(t *testing.T) {
+	is := is.New(t)
+	_, calls := newFeed(t, func(int64) (store.Object, error) { return store.Object{}, eris.New("reset") })
+	time.Sleep(3 * retryPause.Duration())
+	is.True(calls.Load() >= 1)
+	is.True(calls.Load() <= 4)
+}
+
+// Changes in quick succession are gathered.
+func TestChangesGathered(t *testing.T) {
+	is := is.New(t)
+	f, calls := newFeed(t, func(n int64) (store.Object, error) {
+		return store.Object{Version: uint64(n) + 1, Value: []byte("x")}, nil
+	})
+	time.Sleep(retryPause.Duration() + 5*gatherPause.Duration())
+	is.True(f.Current().Version > 1)
+	is.True(calls.Load() <= 11)
+}
