model, retry, board, relay: Place by a model of the engine, on a picture that all instances share

Cause: the product's table estimates by load reports, which are 200 ms old, and knows nothing of pauses that a long prompt makes beside short answers; its flow speaks the own interface's frames.

Conclusion: every instance tells the others at once what it places, and chooses alone.

--- /dev/null
+++ b/internal/board/board.go
@@ -0,0 +1,414 @@
+package board
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/loop"
+	"github.com/corianderpier/corianderpier/internal/model"
+)
+
+const (
+	flushPeriod  = 25 * clock.Millis(1)   // in which ends of works are gathered before they are told
+	repeatPeriod = clock.Second           // between repeats of all own work
+	silentTime   = 3500 * clock.Millis(1) // after which the work of an instance that says nothing is forgotten
+	packetWorks  = 24                     // works in a datagram
+)
+
+// Board is one instance's picture of all targets. Its state belongs to the control loop.
+type Board struct {
+	Self   string
+	Zone   string
+	Loop   *loop.Loop
+	Engine func(service string) (model.Engine, bool) // speed of a service's engines; false for a plain service
+	Tell   func(data []byte)                         // sends a datagram to the other instances
+
+	nodes   map[string]*node
+	own     map[uint64]*Work
+	placed  map[uint64]clock.Millis
+	pending packet
+	number  uint64
+}
+
+// packet is what instances tell one another.
+type packet struct {
+	From    string   `cbor:"1,keyasint"`
+	Placed  []Work   `cbor:"2,keyasint,omitempty"`
+	Begun   []uint64 `cbor:"3,keyasint,omitempty"`
+	Ended   []uint64 `cbor:"4,keyasint,omitempty"`
+	Good    []string `cbor:"5,keyasint,omitempty"` // targets that answered
+	Failed  []string `cbor:"6,keyasint,omitempty"`
+	Dark    []string `cbor:"7,keyasint,omitempty"` // targets that could not be reached
+	Reports []Report `cbor:"8,keyasint,omitempty"`
+}
+
+// Report is what a target says of itself, as instances tell one another.
+type Report struct {
+	Target string  `cbor:"1,keyasint"`
+	Pace   float64 `cbor:"2,keyasint"` // times as long as its model says; zero if it does not say
+	Down   bool    `cbor:"3,keyasint,omitempty"`
+}
+
+func (p packet) empty() bool {
+	return len(p.Placed)+len(p.Begun)+len(p.Ended)+len(p.Good)+len(p.Failed)+len(p.Dark)+len(p.Reports) == 0
+}
+
+// Start sets up the state.
+func (b *Board) Start() {
+	b.nodes = make(map[string]*node)
+	b.own = make(map[uint64]*Work)
+	b.placed = make(map[uint64]clock.Millis)
+}
+
+// Run tells the other instances of own work until the context ends.
+func (b *Board) Run(ctx context.Context) error {
+	flush := time.NewTicker(flushPeriod.Duration())
+	defer flush.Stop()
+	repeat := time.NewTicker(repeatPeriod.Duration())
+	defer repeat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-flush.C:
+			b.Loop.Post(b.flush)
+		case <-repeat.C:
+			b.Loop.Post(b.repeat)
+		}
+	}
+}
+
+// Replace takes a new list of targets into use.
+func (b *Board) Replace(targets []Target) {
+	b.Loop.Post(func() {
+		listed := make(map[string]bool, len(targets))
+		for _, t := range targets {
+			listed[t.ID] = true
+			b.node(t.ID).list(t, b.engine(t.Service))
+		}
+		for id, n := range b.nodes {
+			if listed[id] {
+				continue
+			}
+			n.gone = true
+			if len(n.jobs) == 0 {
+				delete(b.nodes, id)
+			}
+		}
+	})
+}
+
+func (b *Board) engine(service string) model.Engine {
+	e, _ := b.Engine(service)
+	return e
+}
+
+func (n *node) list(t Target, e model.Engine) {
+	n.Target, n.engine, n.gone = t, e, false
+}
+
+// node returns what is known of a target, which may be known from other instances only.
+func (b *Board) node(id string) *node {
+	n := b.nodes[id]
+	if n == nil {
+		n = &node{gone: true, moved: clock.Now(), decayed: clock.Now()}
+		n.Target.ID = id
+		b.nodes[id] = n
+	}
+	return n
+}
+
+// Place chooses targets for a request and counts it there until the placement is ended.
+func (b *Board) Place(need Need) (*Placement, error) {
+	var p *Placement
+	var err error
+	if !b.Loop.Call(func() { p, err = b.place(need) }) {
+		return nil, &Error{Op: "place", Kind: Stopped}
+	}
+	return p, err
+}
+
+func (b *Board) place(need Need) (*Placement, error) {
+	now := clock.Now()
+	nodes := b.candidates(now, need)
+	if len(nodes) == 0 {
+		return nil, &Error{Op: "place", Kind: NoTarget}
+	}
+	engine, isEngine := b.Engine(need.Service)
+	var chosen pick
+	if isEngine && need.Prompt > 0 {
+		for _, n := range nodes {
+			n.engine = engine
+		}
+		if engine.Memory > 0 && need.Prompt+need.Output > engine.Memory {
+			return nil, &Error{Op: "place", Kind: TooLarge}
+		}
+		chosen = chooseEngine(now, need, nodes)
+	} else {
+		chosen = choosePlain(now, b.Zone, nodes)
+	}
+	if chosen.first == nil {
+		return nil, &Error{Op: "place", Kind: Full}
+	}
+	return b.take(now, need, chosen), nil
+}
+
+// candidates are the targets that may run a request; if all of those are ejected, those too.
+func (b *Board) candidates(now clock.Millis, need Need) []*node {
+	var usable, rest, excluded []*node
+	for _, n := range b.nodes {
+		if n.Service != need.Service || n.gone || n.Draining {
+			continue
+		}
+		switch {
+		case need.Exclude[n.ID]:
+			excluded = append(excluded, n)
+		case n.usable(now):
+			usable = append(usable, n)
+		default:
+			rest = append(rest, n)
+		}
+	}
+	if len(usable) > 0 {
+		return usable
+	}
+	if len(rest) > 0 {
+		return rest
+	}
+	return excluded
+}
+
+func (b *Board) take(now clock.Millis, need Need, chosen pick) *Placement {
+	b.number++
+	w := Work{
+		Number: b.number, Target: chosen.first.ID, Prompt: need.Prompt, Output: need.Output, Aim: need.Aim, Pause: need.Pause,
+	}
+	p := &Placement{Target: chosen.first.Target, Predicted: clock.Millis(chosen.predicted), board: b, number: w.Number}
+	for _, h := range chosen.helpers {
+		w.Helpers = append(w.Helpers, h.ID)
+		p.Helpers = append(p.Helpers, h.Target)
+	}
+	b.own[w.Number] = &w
+	b.placed[w.Number] = now
+	b.add(now, key{b.Self, w.Number}, w)
+	b.pending.Placed = append(b.pending.Placed, w)
+	b.flush()
+	return p
+}
+
+// add counts a work at its targets.
+func (b *Board) add(now clock.Millis, k key, w Work) {
+	parts := 1 + len(w.Helpers)
+	for i, id := range append([]string{w.Target}, w.Helpers...) {
+		n := b.node(id)
+		n.advance(now)
+		j := &job{key: k, work: w, placed: now - w.Age, heard: now, helper: i > 0, begun: w.Begun, tokens: w.Prompt / parts}
+		if i == 0 && parts > 1 {
+			j.tokens = w.Prompt - (parts-1)*(w.Prompt/parts)
+		}
+		if !w.Begun {
+			j.reading = max(0, n.engine.PartTime(w.Prompt, parts)-float64(w.Age))
+		}
+		n.jobs = append(n.jobs, j)
+	}
+}
+
+// begun notes that the first event of a work has come, so that its prompt is read.
+func (b *Board) begun(k key) {
+	for _, n := range b.nodes {
+		for _, j := range n.jobs {
+			if j.key == k {
+				n.advance(clock.Now())
+				j.reading, j.begun, j.work.Begun = 0, true, true
+			}
+		}
+		if n.helps(k) {
+			n.remove(k)
+		}
+	}
+}
+
+func (n *node) helps(k key) bool {
+	for _, j := range n.jobs {
+		if j.key == k {
+			return j.helper
+		}
+	}
+	return false
+}
+
+func (b *Board) ended(k key) {
+	for id, n := range b.nodes {
+		n.remove(k)
+		if n.gone && len(n.jobs) == 0 {
+			delete(b.nodes, id)
+		}
+	}
+}
+
+// Begun tells that the first event has come.
+func (p *Placement) Begun() {
+	b := p.board
+	b.Loop.Post(func() {
+		if w := b.own[p.number]; w != nil {
+			w.Begun = true
+		}
+		b.begun(key{b.Self, p.number})
+		b.pending.Begun = append(b.pending.Begun, p.number)
+	})
+}
+
+// Outcome is how a target dealt with a request.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Unjudged    Outcome = iota // the request ended for a reason that says nothing of the target
+	Good                       // it answered
+	Failed                     // it failed
+	Unreachable                // it could not be reached
+)
+
+// End takes the request off its targets.
+func (p *Placement) End(o Outcome) {
+	b := p.board
+	b.Loop.Post(func() {
+		delete(b.own, p.number)
+		delete(b.placed, p.number)
+		b.ended(key{b.Self, p.number})
+		b.pending.Ended = append(b.pending.Ended, p.number)
+		id := p.Target.ID
+		b.judge(id, o)
+		switch o {
+		case Good:
+			b.pending.Good = append(b.pending.Good, id)
+		case Failed:
+			b.pending.Failed = append(b.pending.Failed, id)
+		case Unreachable:
+			b.pending.Dark = append(b.pending.Dark, id)
+		}
+	})
+}
+
+func (b *Board) judge(id string, o Outcome) {
+	n := b.nodes[id]
+	if n == nil {
+		return
+	}
+	now := clock.Now()
+	switch o {
+	case Good:
+		n.succeeded(now)
+	case Failed:
+		n.failed(now, false)
+	case Unreachable:
+		n.failed(now, true)
+	}
+	if o != Good && o != Unjudged {
+		metrics.GetOrCreateCounter(`pier_board_target_failed_total`).Inc()
+	}
+}
+
+// flush tells the others what has changed since the last time.
+func (b *Board) flush() {
+	if b.pending.empty() {
+		return
+	}
+	b.send(b.pending)
+	b.pending = packet{}
+}
+
+func (b *Board) send(p packet) {
+	p.From = b.Self
+	data, err := cbor.Marshal(p)
+	if err != nil {
+		slog.Error("placements not encoded", "error", err)
+		return
+	}
+	b.Tell(data)
+}
+
+// repeat tells the others of all own work, and forgets that of instances that are silent.
+func (b *Board) repeat() {
+	now := clock.Now()
+	var p packet
+	for number, w := range b.own {
+		told := *w
+		told.Age = now - b.placed[number]
+		p.Placed = append(p.Placed, told)
+		if len(p.Placed) == packetWorks {
+			b.send(p)
+			p = packet{}
+		}
+	}
+	if !p.empty() {
+		b.send(p)
+	}
+	for id, n := range b.nodes {
+		kept := n.jobs[:0]
+		for _, j := range n.jobs {
+			if j.owner == b.Self || now-j.heard < silentTime {
+				kept = append(kept, j)
+			}
+		}
+		n.jobs = kept
+		if n.gone && len(n.jobs) == 0 {
+			delete(b.nodes, id)
+		}
+	}
+}
+
+// Receive handles a datagram of another instance.
+func (b *Board) Receive(data []byte) {
+	var p packet
+	if err := cbor.Unmarshal(data, &p); err != nil || p.From == b.Self {
+		return
+	}
+	b.Loop.Post(func() { b.receive(p) })
+}
+
+func (b *Board) receive(p packet) {
+	now := clock.Now()
+	for _, w := range p.Placed {
+		k := key{p.From, w.Number}
+		switch {
+		case !b.refresh(now, k):
+			b.add(now, k, w)
+		case w.Begun:
+			b.begun(k) // the datagram that said so may be lost
+		}
+	}
+	for _, number := range p.Begun {
+		b.begun(key{p.From, number})
+	}
+	for _, number := range p.Ended {
+		b.ended(key{p.From, number})
+	}
+	for _, told := range []struct {
+		ids     []string
+		outcome Outcome
+	}{{p.Good, Good}, {p.Failed, Failed}, {p.Dark, Unreachable}} {
+		for _, id := range told.ids {
+			b.judge(id, told.outcome)
+		}
+	}
+}
+
+// refresh notes that a work is still in progress; it reports whether the work is known.
+func (b *Board) refresh(now clock.Millis, k key) bool {
+	known := false
+	for _, n := range b.nodes {
+		for _, j := range n.jobs {
+			if j.key == k {
+				j.heard = now
+				known = true
+			}
+		}
+	}
+	return known
+}
--- /dev/null
+++ b/internal/board/board_test.go
@@ -0,0 +1,177 @@
+package board
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/loop"
+	"github.com/corianderpier/corianderpier/internal/model"
+)
+
+var sheet = model.Engine{
+	Slots: 16, Memory: 405_000, StepTime: 1.31, WriterTime: 0.000917, ContextTime: 0.00213,
+	ReadRate: 154, PairTime: 0.162, Chunk: 2048, Stride: 34,
+}
+
+// The kinds of prompt of the users' sheets.
+var (
+	short  = Need{Service: "models", Prompt: 4960, Output: 1300, Aim: 300, Pause: 250}
+	medium = Need{Service: "models", Prompt: 45_000, Output: 780, Aim: 1500, Pause: 600}
+	long   = Need{Service: "models", Prompt: 182_000, Output: 650, Aim: 3000, Pause: 1000}
+)
+
+// newBoards returns boards of several instances over the same engines; what one tells reaches all others.
+func newBoards(t *testing.T, instances, engines int) []*Board {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	boards := make([]*Board, instances)
+	for i := range boards {
+		boards[i] = &Board{
+			Self: fmt.Sprintf("entry-%d", i), Zone: "a", Loop: loop.New(),
+			Engine: func(service string) (model.Engine, bool) { return sheet, service == "models" },
+		}
+		boards[i].Tell = func(data []byte) {
+			for j, other := range boards {
+				if j != i {
+					go other.Receive(data)
+				}
+			}
+		}
+		boards[i].Start()
+	}
+	var targets []Target
+	for i := range engines {
+		targets = append(targets, Target{ID: fmt.Sprintf("engine-%d", i), Service: "models", Zone: "a", Slots: 16})
+	}
+	for i := range 3 {
+		targets = append(targets, Target{ID: fmt.Sprintf("plain-%d", i), Service: "desk", Zone: string(rune('a' + i)), Slots: 6})
+	}
+	for _, b := range boards {
+		go func() { _ = b.Loop.Run(ctx) }()
+		b.Replace(targets)
+	}
+	return boards
+}
+
+func place(t *testing.T, b *Board, n Need) *Placement {
+	t.Helper()
+	n.Deadline = clock.Now() + 10*clock.Second
+	p, err := b.Place(n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// settle waits until the boards have taken in what they were told.
+func settle(boards []*Board) {
+	time.Sleep(20 * time.Millisecond)
+	for _, b := range boards {
+		b.Loop.Call(func() {})
+	}
+}
+
+// Pattern: short questions while a long read is in progress. They go to engines that do not read it.
+func TestShortBesideLong(t *testing.T) {
+	is := is.New(t)
+	boards := newBoards(t, 2, 4)
+	read := place(t, boards[0], long)
+	busy := map[string]bool{read.Target.ID: true}
+	for _, h := range read.Helpers {
+		busy[h.ID] = true
+	}
+	is.True(len(busy) < 4)
+	settle(boards)
+	for range 6 {
+		p := place(t, boards[1], short)
+		is.True(!busy[p.Target.ID])
+		is.True(p.Predicted < short.Aim)
+	}
+}
+
+// Pattern: a long read on idle engines is spread until it meets its aim.
+func TestLongReadMeetsAim(t *testing.T) {
+	is := is.New(t)
+	boards := newBoards(t, 1, 8)
+	p := place(t, boards[0], long)
+	is.True(len(p.Helpers) >= 1)
+	is.True(p.Predicted < long.Aim)
+}
+
+// Pattern: medium prompts and short questions together. Neither makes the other late while there is an engine for each.
+func TestMediumBesideShort(t *testing.T) {
+	is := is.New(t)
+	boards := newBoards(t, 2, 6)
+	for range 8 {
+		place(t, boards[0], short).Begun()
+	}
+	settle(boards)
+	is.True(place(t, boards[1], medium).Predicted < medium.Aim)
+	settle(boards)
+	is.True(place(t, boards[0], short).Predicted < short.Aim)
+}
+
+// Pattern: a crest of short questions from several instances is spread evenly.
+func TestCrestOfShort(t *testing.T) {
+	is := is.New(t)
+	boards := newBoards(t, 3, 4)
+	count := make(map[string]int)
+	for i := range 24 {
+		p := place(t, boards[i%3], short)
+		count[p.Target.ID]++
+		settle(boards)
+	}
+	for id, n := range count {
+		is.True(n <= 9) // of 24 over four engines
+		t.Log(id, n)
+	}
+}
+
+// What an instance that has gone silent has placed is forgotten; what it ends is taken off at once.
+func TestEndedWork(t *testing.T) {
+	is := is.New(t)
+	boards := newBoards(t, 2, 1)
+	p := place(t, boards[0], short)
+	settle(boards)
+	count := func(b *Board) int {
+		n := 0
+		b.Loop.Call(func() { n = b.node("engine-0").running() })
+		return n
+	}
+	is.Equal(count(boards[1]), 1)
+	p.End(Good)
+	boards[0].Loop.Call(boards[0].flush)
+	settle(boards)
+	is.Equal(count(boards[1]), 0)
+	place(t, boards[0], short)
+	settle(boards)
+	boards[1].Loop.Call(func() {
+		for _, j := range boards[1].node("engine-0").jobs {
+			j.heard -= silentTime
+		}
+		boards[1].repeat()
+	})
+	is.Equal(count(boards[1]), 0)
+}
+
+// A target that cannot be reached gets nothing for a while, from no instance.
+func TestUnreachable(t *testing.T) {
+	is := is.New(t)
+	boards := newBoards(t, 2, 0)
+	need := Need{Service: "desk"}
+	p := place(t, boards[0], need)
+	p.End(Unreachable)
+	boards[0].Loop.Call(boards[0].flush)
+	settle(boards)
+	for _, b := range boards {
+		for range 6 {
+			is.True(place(t, b, need).Target.ID != p.Target.ID)
+		}
+	}
+}
--- /dev/null
+++ b/internal/board/node.go
@@ -0,0 +1,128 @@
+package board
+
+import (
+	"math"
+	"slices"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/model"
+)
+
+const (
+	faultWindow  = 4 * clock.Second // over which failures are forgotten
+	ejectTime    = clock.Second     // after a failure that proves a target unreachable; doubled with each further one
+	maxEjectTime = 8 * clock.Second
+)
+
+// node is what this instance knows of one target.
+type node struct {
+	Target
+	jobs    []*job
+	moved   clock.Millis // up to which reading is accounted for
+	faults  float64      // decaying
+	good    float64      // decaying
+	decayed clock.Millis
+	ejected clock.Millis // until
+	ejects  int
+	gone    bool    // no longer listed
+	pace    float64 // times as long as the model says, as the target reports
+	engine  model.Engine
+}
+
+func (n *node) usable(now clock.Millis) bool { return !n.gone && !n.Draining && now >= n.ejected }
+
+func (n *node) slowness() float64 { return max(n.pace, 1) }
+
+// advance accounts for the reading that was done since the last call.
+func (n *node) advance(now clock.Millis) {
+	elapsed := float64(now-n.moved) / n.slowness()
+	n.moved = now
+	if elapsed <= 0 {
+		return
+	}
+	writers, context, _, _ := n.load()
+	if writers > 0 && n.engine.ReadRate > 0 {
+		step := n.engine.WriteTime(writers, context) / float64(max(n.engine.Stride, 1))
+		read := float64(n.engine.Chunk) / n.engine.ReadRate
+		elapsed *= read / (read + step)
+	}
+	for _, helper := range []bool{true, false} {
+		for _, j := range n.jobs {
+			if j.helper == helper && j.reading > 0 {
+				done := min(j.reading, elapsed)
+				j.reading -= done
+				elapsed -= done
+			}
+		}
+	}
+}
+
+// load returns the answers being written, their context, and what is left to read, in milliseconds and tokens.
+func (n *node) load() (writers, context int, backlog float64, tokens int) {
+	for _, j := range n.jobs {
+		switch {
+		case j.reading > 0:
+			backlog += j.reading
+			tokens += j.tokens
+		case !j.helper:
+			writers++
+			context += j.tokens
+		}
+	}
+	return writers, context, backlog, tokens
+}
+
+// running counts the requests that have or wait for a slot.
+func (n *node) running() int {
+	count := 0
+	for _, j := range n.jobs {
+		if !j.helper {
+			count++
+		}
+	}
+	return count
+}
+
+// held is the memory of the requests, in tokens.
+func (n *node) held() int {
+	tokens := 0
+	for _, j := range n.jobs {
+		if !j.helper {
+			tokens += j.work.Prompt + j.work.Output
+		}
+	}
+	return tokens
+}
+
+func (n *node) remove(k key) {
+	n.jobs = slices.DeleteFunc(n.jobs, func(j *job) bool { return j.key == k })
+}
+
+func (n *node) decay(now clock.Millis) {
+	factor := math.Exp(-float64(now-n.decayed) / float64(faultWindow))
+	n.faults *= factor
+	n.good *= factor
+	n.decayed = now
+}
+
+// risk estimates the share of requests that fail at the target.
+func (n *node) risk(now clock.Millis) float64 {
+	n.decay(now)
+	return n.faults / (n.faults + n.good + 2)
+}
+
+func (n *node) succeeded(now clock.Millis) {
+	n.decay(now)
+	n.good++
+	n.ejects, n.ejected = 0, 0
+}
+
+func (n *node) failed(now clock.Millis, unreachable bool) {
+	n.decay(now)
+	n.faults++
+	if !unreachable {
+		return
+	}
+	n.ejected = now + min(ejectTime<<min(n.ejects, 10), maxEjectTime)
+	n.ejects++
+}
--- /dev/null
+++ b/internal/board/work.go
@@ -0,0 +1,68 @@
+package board
+
+import (
+	"github.com/corianderpier/corianderpier/internal/clock"
+)
+
+// outputWeight is how many prompt tokens a generated token weighs in the value of a request.
+const outputWeight = 10
+
+// Target is one process that runs requests.
+type Target struct {
+	ID       string       `json:"id"`
+	Service  string       `json:"service"`
+	Addr     string       `json:"addr"`
+	Zone     string       `json:"zone"`
+	Slots    int          `json:"slots"`
+	Draining bool         `json:"draining,omitempty"`
+	Cold     clock.Millis `json:"cold,omitempty"` // for which it is still slow after its start
+}
+
+// Need is what a request asks of a target.
+type Need struct {
+	ID       string
+	Service  string
+	Prompt   int             // tokens
+	Output   int             // most tokens to generate
+	Aim      clock.Millis    // wanted time to the first event
+	Pause    clock.Millis    // longest wanted pause between events
+	Elapsed  clock.Millis    // since the caller's request arrived
+	Deadline clock.Millis    // point in time
+	Exclude  map[string]bool // targets that are not to run it
+}
+
+// value weighs a request against others by the work that it asks for.
+func (n Need) value() float64 { return float64(n.Prompt + outputWeight*n.Output) }
+
+// Work is a request in progress as instances tell one another.
+type Work struct {
+	Number  uint64       `cbor:"1,keyasint"` // unique for its instance
+	Target  string       `cbor:"2,keyasint"`
+	Helpers []string     `cbor:"3,keyasint,omitempty"` // targets that read a part of the prompt
+	Prompt  int          `cbor:"4,keyasint,omitempty"`
+	Output  int          `cbor:"5,keyasint,omitempty"`
+	Aim     clock.Millis `cbor:"6,keyasint,omitempty"`
+	Pause   clock.Millis `cbor:"7,keyasint,omitempty"`
+	Begun   bool         `cbor:"8,keyasint,omitempty"` // the first event has come
+	Age     clock.Millis `cbor:"9,keyasint,omitempty"` // since it was placed
+}
+
+func (w Work) value() float64 { return float64(w.Prompt + outputWeight*w.Output) }
+
+// key names a work among all instances.
+type key struct {
+	owner  string
+	number uint64
+}
+
+// job is a target's part in a work.
+type job struct {
+	key
+	work    Work
+	placed  clock.Millis
+	heard   clock.Millis // when its instance last spoke of it
+	reading float64      // milliseconds of reading that are left
+	tokens  int          // of this target's part
+	helper  bool         // it reads for another target
+	begun   bool
+}
--- /dev/null
+++ b/internal/model/model.go
@@ -0,0 +1,55 @@
+package model
+
+// million is the unit of pairs in Engine.PairTime.
+const million = 1e6
+
+// Engine describes the speed of an engine; all times are in milliseconds.
+type Engine struct {
+	Slots       int     // requests that run at once
+	Memory      int     // tokens
+	StepTime    float64 // of one token of every answer
+	WriterTime  float64 // added to a step for each answer
+	ContextTime float64 // added to a step for each 1,000 tokens of context of the answers
+	ReadRate    float64 // prompt tokens read a millisecond
+	PairTime    float64 // for a million pairs of a prompt token and an earlier one
+	Chunk       int     // prompt tokens read in a step at most
+	Stride      int     // steps in a pass that writes
+	HopTime     float64 // added to a step whose context lies on several engines
+	ReportLag   float64 // age of a load report
+}
+
+// ReadTime returns how long a whole prompt takes to be read.
+func (e Engine) ReadTime(tokens int) float64 {
+	return e.PartTime(tokens, 1)
+}
+
+// PartTime returns how long one of several equal parts of a prompt takes to be read.
+func (e Engine) PartTime(tokens, parts int) float64 {
+	if e.ReadRate <= 0 {
+		return 0
+	}
+	n := float64(tokens)
+	whole := n/e.ReadRate + n*n/2/million*e.PairTime
+	return whole / float64(parts)
+}
+
+// WriteTime returns how long a pass takes that reads nothing.
+func (e Engine) WriteTime(writers, context int) float64 {
+	step := e.StepTime + float64(writers)*e.WriterTime + float64(context)/1000*e.ContextTime
+	return float64(max(e.Stride, 1)) * step
+}
+
+// PassTokens returns the most prompt tokens that a pass reads beside answers.
+func (e Engine) PassTokens() int { return e.Chunk * max(e.Stride, 1) }
+
+// PassTime returns how long a pass takes with some answers and a backlog of unread prompts.
+func (e Engine) PassTime(writers, context int, backlog float64, tokens int) float64 {
+	if writers == 0 {
+		return backlog
+	}
+	read := backlog
+	if most := e.PassTokens(); tokens > most && most > 0 {
+		read *= float64(most) / float64(tokens)
+	}
+	return e.WriteTime(writers, context) + read
+}
--- /dev/null
+++ b/internal/model/model_test.go
@@ -0,0 +1,32 @@
+package model
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// sheet is the engine of the users' sheets.
+var sheet = Engine{
+	Slots: 16, Memory: 405_000, StepTime: 1.31, WriterTime: 0.000917, ContextTime: 0.00213,
+	ReadRate: 154, PairTime: 0.162, Chunk: 2048, Stride: 34,
+}
+
+// A prompt of 182,000 tokens takes 3.9 s to be read alone, and a half of it half as long.
+func TestReadTime(t *testing.T) {
+	is := is.New(t)
+	whole := sheet.ReadTime(182_000)
+	is.True(whole > 3800 && whole < 3950)
+	is.Equal(sheet.PartTime(182_000, 2), whole/2)
+	is.Equal(Engine{}.ReadTime(1000), 0.0) // a plain service reads nothing
+}
+
+// A pass beside answers reads a bounded number of tokens; without answers it is nothing but reading.
+func TestPassTime(t *testing.T) {
+	is := is.New(t)
+	is.Equal(sheet.PassTime(0, 0, 3900, 182_000), 3900.0)
+	alone := sheet.PassTime(1, 5000, 0, 0)
+	is.True(alone > 44 && alone < 46)
+	beside := sheet.PassTime(1, 5000, 3900, 182_000)
+	is.True(beside > 1400 && beside < 1600) // 69,632 of 182,000 tokens
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,302 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+
+	"github.com/corianderpier/corianderpier/internal/board"
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/retry"
+)
+
+const (
+	maxAnswer   = 16 << 20             // bytes of an answer that is not a stream
+	dialRetries = 3                    // targets that may prove unreachable without counting as attempts
+	minLeft     = 20 * clock.Millis(1) // a request with less time left is not sent
+)
+
+// Relay passes requests on.
+type Relay struct {
+	Place func(n board.Need) (*board.Placement, error)
+	// Send starts a request at a placement; id is the last event that the caller has.
+	Send func(ctx context.Context, r Request, p *board.Placement, after int) (*Answer, error)
+	// Refuse answers a caller who gets no answer of a target.
+	Refuse func(w http.ResponseWriter, r Request, no Refusal)
+	// Budget returns the bounds of repeats for a service.
+	Budget func(service string) *retry.Budget
+	// Later says when a caller who was refused may come again.
+	Later func(r Request) clock.Millis
+}
+
+// run is the state of one request over its attempts.
+type run struct {
+	Request
+	relay   *Relay
+	w       http.ResponseWriter
+	exclude map[string]bool
+	sent    int // attempts that reached a target
+	dials   int // attempts that reached none
+	ran     bool
+	begun   bool // the answer to the caller has begun
+	broken  bool // the connection to the caller is to be broken off
+	last    int  // id of the last event that was passed on
+	events  int
+	target  string
+	wanted  clock.Millis // predicted time to the first event
+	first   clock.Millis // time to the first event
+	helpers int
+}
+
+// Serve answers a request.
+func (l *Relay) Serve(ctx context.Context, w http.ResponseWriter, r Request) {
+	ctx, cancel := context.WithDeadline(ctx, r.end().Time())
+	defer cancel()
+	s := &run{Request: r, relay: l, w: w, exclude: make(map[string]bool), last: r.After}
+	l.Budget(r.Service).First()
+	outcome := s.serve(ctx)
+	metrics.GetOrCreateCounter(`pier_relay_requests_total{outcome="` + outcome + `"}`).Inc()
+	slog.Info("request", "request", r.ID, "service", r.Service, "customer", r.Customer, "outcome", outcome,
+		"target", s.target, "sent", s.sent, "unreachable", s.dials, "prompt", r.Prompt, "parts", s.helpers+1,
+		"predicted_ms", int64(s.wanted), "first_ms", int64(s.first), "events", s.events,
+		"took_ms", int64(clock.Now()-r.Arrived))
+	if s.broken {
+		panic(http.ErrAbortHandler) // closes the connection, so that the answer does not look whole
+	}
+}
+
+// serve tries targets until the request has an answer, and returns what became of it.
+func (s *run) serve(ctx context.Context) string {
+	for {
+		if s.end()-clock.Now() < minLeft {
+			return s.timeUp()
+		}
+		p, err := s.relay.Place(s.need(s.exclude))
+		if err != nil {
+			return s.refuse(placeReason(err))
+		}
+		s.target, s.wanted, s.helpers = p.Target.ID, p.Predicted, len(p.Helpers)
+		done, again := s.attempt(ctx, p)
+		if done != "" {
+			return done
+		}
+		s.exclude[p.Target.ID] = true
+		if !again {
+			return s.giveUp(ctx)
+		}
+		if ctx.Err() != nil {
+			return s.timeUp()
+		}
+	}
+}
+
+// attempt tries one target; it returns what became of the request, or whether another target may be tried.
+func (s *run) attempt(ctx context.Context, p *board.Placement) (done string, again bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answer, err := s.relay.Send(ctx, s.Request, p, s.last)
+	if err == nil || KindOf(err) != Untouched {
+		s.sent++
+	}
+	if err != nil {
+		return s.failed(ctx, p, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	switch {
+	case answer.NotRun:
+		p.End(board.Failed)
+		count("not_run")
+		return "", s.another()
+	case answer.Status >= http.StatusInternalServerError:
+		s.ran = true
+		return s.errorAnswer(p, answer)
+	case s.Kind == Stream && answer.Status == http.StatusOK:
+		return s.stream(ctx, p, answer)
+	default:
+		return s.whole(ctx, p, answer)
+	}
+}
+
+// failed deals with an attempt without an answer.
+func (s *run) failed(ctx context.Context, p *board.Placement, err error) (string, bool) {
+	kind := KindOf(err)
+	slog.Info("attempt failed", "request", s.ID, "target", p.Target.ID, "error", err.Error(), "ended", ctx.Err() != nil)
+	if kind == Untouched {
+		s.dials++
+		if ctx.Err() != nil {
+			p.End(board.Unjudged)
+			return "", true
+		}
+		p.End(board.Unreachable)
+		count("unreachable")
+		return "", s.dials <= dialRetries
+	}
+	s.ran = true
+	if ctx.Err() != nil {
+		p.End(board.Unjudged)
+		return "", false
+	}
+	p.End(board.Failed)
+	count(string(kind))
+	return "", s.repeatable() && s.another()
+}
+
+// another reports whether the request may be sent to one more target.
+func (s *run) another() bool {
+	if s.sent >= max(s.Attempts, 1) {
+		return false
+	}
+	if !s.relay.Budget(s.Service).Repeat() {
+		count("budget_spent")
+		return false
+	}
+	return true
+}
+
+// errorAnswer repeats a request that failed at its target, or passes the failure on.
+func (s *run) errorAnswer(p *board.Placement, answer *Answer) (string, bool) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
+	p.End(board.Failed)
+	if s.repeatable() && s.another() {
+		count("error_answer")
+		return "", true
+	}
+	if err != nil || s.begun {
+		return "", false
+	}
+	s.pass(answer, body)
+	return "error", false
+}
+
+// whole passes on an answer that is not a stream once all of it is there.
+func (s *run) whole(ctx context.Context, p *board.Placement, answer *Answer) (string, bool) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
+	if err != nil {
+		return s.failed(ctx, p, &Error{Op: "read", Kind: Broken, Err: err})
+	}
+	s.ran = true
+	p.End(board.Good)
+	s.first = clock.Now() - s.Arrived
+	s.pass(answer, body)
+	return "answered", false
+}
+
+// pass answers the caller with what a target said.
+func (s *run) pass(answer *Answer, body []byte) {
+	copyHeader(s.w.Header(), answer.Header)
+	s.w.WriteHeader(answer.Status)
+	_, _ = s.w.Write(body)
+}
+
+// stream passes events on as they come.
+func (s *run) stream(ctx context.Context, p *board.Placement, answer *Answer) (string, bool) {
+	out := http.NewResponseController(s.w)
+	source := newEvents(answer.Body)
+	heard := false
+	for {
+		e, err := source.next()
+		if eris.Is(err, io.EOF) && heard {
+			p.End(board.Good)
+			return "answered", false
+		}
+		if err != nil {
+			return s.failed(ctx, p, &Error{Op: "stream", Kind: Broken, Err: err})
+		}
+		if !heard {
+			heard = true
+			s.ran = true
+			p.Begun()
+		}
+		if e.id >= 0 && e.id != s.last+1 && s.last > 0 {
+			return s.failed(ctx, p, &Error{Op: "stream", Kind: Foreign})
+		}
+		if !s.begun {
+			s.begun = true
+			s.first = clock.Now() - s.Arrived
+			copyHeader(s.w.Header(), answer.Header)
+			s.w.Header().Del("Content-Length")
+			s.w.WriteHeader(answer.Status)
+		}
+		if e.id >= 0 {
+			s.last = e.id
+		}
+		s.events++
+		if _, err := s.w.Write(e.data); err != nil {
+			p.End(board.Unjudged)
+			return "caller_gone", false
+		}
+		if err := out.Flush(); err != nil {
+			p.End(board.Unjudged)
+			return "caller_gone", false
+		}
+	}
+}
+
+// giveUp ends a request that may not be tried again.
+func (s *run) giveUp(ctx context.Context) string {
+	switch {
+	case eris.Is(ctx.Err(), context.Canceled):
+		return s.abort("caller_gone")
+	case ctx.Err() != nil:
+		return s.timeUp()
+	case s.ran:
+		return s.refuse(TargetFailed)
+	default:
+		return s.refuse(Refused)
+	}
+}
+
+func (s *run) timeUp() string {
+	if s.ran {
+		return s.refuse(TimedOut)
+	}
+	return s.refuse(Expired)
+}
+
+// refuse tells the caller why there is no answer; an answer that has begun is broken off, so that it does not look whole.
+func (s *run) refuse(reason Reason) string {
+	if s.begun {
+		return s.abort(string(reason))
+	}
+	no := Refusal{Reason: reason, Ran: s.ran}
+	if !s.ran {
+		no.Later = s.relay.Later(s.Request)
+	}
+	s.relay.Refuse(s.w, s.Request, no)
+	return string(reason)
+}
+
+// abort has the connection to the caller broken off once the request is counted.
+func (s *run) abort(outcome string) string {
+	s.broken = true
+	return outcome
+}
+
+func placeReason(err error) Reason {
+	var e *board.Error
+	if !eris.As(err, &e) {
+		return Full
+	}
+	switch e.Kind {
+	case board.NoTarget:
+		return NoTarget
+	case board.TooLarge:
+		return TooLarge
+	default:
+		return Full
+	}
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+}
+
+func count(reason string) {
+	metrics.GetOrCreateCounter(`pier_relay_failed_attempts_total{reason="` + reason + `"}`).Inc()
+}
--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,30 @@
+package retry
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+)
+
+// Repeats stay within a share of the first tries of the window, plus a few.
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	now := clock.Millis(1_000_000)
+	b := &Budget{Ratio: 0.2, Extra: 2, Window: 10 * clock.Second, Now: func() clock.Millis { return now }}
+	for range 10 {
+		b.First()
+	}
+	allowed := 0
+	for range 100 {
+		if b.Repeat() {
+			allowed++
+		}
+	}
+	is.Equal(allowed, 4)
+	now += 11 * clock.Second // the window has passed, and with it the first tries
+	is.True(b.Repeat())
+	is.True(b.Repeat())
+	is.True(!b.Repeat())
+}
