board, ticket: Split prompts that are too large for one engine over leases

Ruled out: long reservations that another instance must release when their owner is gone: a lease of 4 s, renewed each 1.2 s, lapses by itself, also when an engine carries an order out late.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -145,7 +146,7 @@
 		for _, n := range nodes {
 			n.engine = engine
 		}
-		if engine.Memory > 0 && need.Prompt+need.Output > engine.Memory {
+		if most := engine.Memory * min(len(nodes), maxParts); most > 0 && need.Prompt+need.Output > most {
 			return nil, &Error{Op: "place", Kind: TooLarge}
 		}
 		chosen = chooseEngine(now, need, nodes)
@@ -187,12 +188,16 @@
 	b.number++
 	w := Work{
 		Number: b.number, Target: chosen.first.ID, Prompt: need.Prompt, Output: need.Output, Aim: need.Aim, Pause: need.Pause,
+		Split: chosen.split,
 	}
 	p := &Placement{Target: chosen.first.Target, Predicted: clock.Millis(chosen.predicted), board: b, number: w.Number}
 	for _, h := range chosen.helpers {
 		w.Helpers = append(w.Helpers, h.ID)
 		p.Helpers = append(p.Helpers, h.Target)
 	}
+	if w.Split {
+		p.Memory = w.memory(true)
+	}
 	b.own[w.Number] = &w
 	b.placed[w.Number] = now
 	b.add(now, key{b.Self, w.Number}, w)
@@ -227,19 +232,19 @@
 				j.reading, j.begun, j.work.Begun = 0, true, true
 			}
 		}
-		if n.helps(k) {
+		if n.helps(k) && !n.keeps(k) {
 			n.remove(k)
 		}
 	}
 }
 
 func (n *node) helps(k key) bool {
-	for _, j := range n.jobs {
-		if j.key == k {
-			return j.helper
-		}
-	}
-	return false
+	return slices.ContainsFunc(n.jobs, func(j *job) bool { return j.key == k && j.helper })
+}
+
+// keeps reports whether the target keeps memory of a work that it helped to read.
+func (n *node) keeps(k key) bool {
+	return slices.ContainsFunc(n.jobs, func(j *job) bool { return j.key == k && j.work.Split })
 }
 
 func (b *Board) ended(k key) {
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -175,3 +175,33 @@
 		}
 	}
 }
+
+// Pattern: a prompt of a million tokens, twice what one engine holds. It is split over engines that keep its parts.
+func TestMillionTokens(t *testing.T) {
+	is := is.New(t)
+	boards := newBoards(t, 2, 8)
+	for range 16 {
+		place(t, boards[0], short).Begun()
+	}
+	p := place(t, boards[0], Need{Service: "models", Prompt: 900_000, Output: 600, Aim: 3000, Pause: 1000})
+	is.True(p.Memory > 0)
+	is.True(p.Memory*(1+len(p.Helpers)) >= 900_000-len(p.Helpers))
+	is.True(p.Memory <= sheet.Memory)
+	settle(boards)
+	p.Begun()
+	boards[0].Loop.Call(boards[0].flush)
+	settle(boards)
+	for _, b := range boards {
+		kept := 0
+		b.Loop.Call(func() {
+			for _, n := range b.nodes {
+				kept += n.held()
+			}
+		})
+		is.True(kept >= 900_000) // the parts stay held while the answer is written
+	}
+	p.End(Good)
+	boards[0].Loop.Call(func() { is.True(boards[0].node(p.Target.ID).held() < 100_000) })
+	_, err := boards[0].Place(Need{Service: "models", Prompt: 8_000_000, Output: 1, Aim: 3000})
+	is.True(err != nil) // no engines together have the memory
+}
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -1,6 +1,8 @@
 package board
 
 import (
+	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 
@@ -26,16 +28,32 @@
 type Placement struct {
 	Target    Target
 	Helpers   []Target     // engines that read a part of the prompt
+	Memory    int          // tokens that each helper is to keep; zero if the first engine has the memory for all
 	Predicted clock.Millis // to the first event; zero for a plain service
 
 	board  *Board
 	number uint64
 }
 
+// HelperIDs returns the ids of the engines that read a part of the prompt.
+func (p *Placement) HelperIDs() []string {
+	ids := make([]string, len(p.Helpers))
+	for i, h := range p.Helpers {
+		ids[i] = h.ID
+	}
+	return ids
+}
+
+// TicketID names the lease of memory at a helper, uniquely for each placement.
+func (p *Placement) TicketID(helper int) string {
+	return fmt.Sprintf("%s-%x-%d", p.board.Self, p.number, helper)
+}
+
 // pick is a choice that is being weighed.
 type pick struct {
 	first     *node
 	helpers   []*node
+	split     bool // helpers keep the memory of their parts
 	predicted float64
 	cost      float64
 }
@@ -63,11 +81,12 @@
 	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
 	best := pick{}
 	aim := float64(max(need.Aim, 1))
+	whole := slices.ContainsFunc(nodes, func(n *node) bool { return n.fits(need.Prompt + need.Output) })
 	for parts := 1; parts <= min(len(nodes), maxParts); parts++ {
-		if parts > 1 && nodes[0].engine.ReadTime(need.Prompt) < spreadAbove*aim {
+		if parts > 1 && whole && nodes[0].engine.ReadTime(need.Prompt) < spreadAbove*aim {
 			break
 		}
-		p := chooseParts(now, need, nodes, parts)
+		p := chooseParts(now, need, nodes, parts, !whole)
 		if p.first != nil && (best.first == nil || p.cost < best.cost) {
 			best = p
 		}
@@ -75,72 +94,124 @@
 	return best
 }
 
-// chooseParts takes the engines on which equal parts of the prompt cost least.
-func chooseParts(now clock.Millis, need Need, nodes []*node, parts int) pick {
-	type option struct {
-		*node
-		cost, predicted float64
-		fits            bool
+// role is what an engine could do for a prompt, and what that costs.
+type role struct {
+	*node
+	cost      float64
+	predicted float64
+	delayed   map[key]float64 // value that others lose
+}
+
+// chooseParts takes the engines on which equal parts of the prompt cost least: one that runs it, and helpers. Where the
+// prompt is split, each keeps the memory of its part.
+func chooseParts(now clock.Millis, need Need, nodes []*node, parts int, split bool) pick {
+	memory, share := need.Prompt+need.Output, 0
+	if split {
+		share = need.Prompt / parts
+		memory = share + need.Output
 	}
-	options := make([]option, 0, len(nodes))
+	var first *role
 	for _, n := range nodes {
-		o := option{node: n, fits: n.fits(need, parts)}
-		part := n.engine.PartTime(need.Prompt, parts)
-		tokens := need.Prompt / parts
-		o.predicted = n.predict(part, tokens)
-		own := loss(float64(need.Elapsed)+o.predicted, need.Aim, need.value())
-		o.cost = own/float64(parts) + n.harm(now, part, tokens, parts > 1) + n.risk(now)*need.value()
-		options = append(options, o)
-	}
-	slices.SortStableFunc(options, func(a, b option) int {
-		switch {
-		case a.cost < b.cost:
-			return -1
-		case a.cost > b.cost:
-			return 1
+		if !n.fits(memory) {
+			continue
 		}
-		return 0
-	})
-	first := slices.IndexFunc(options, func(o option) bool { return o.fits })
-	if first < 0 {
+		r := n.weigh(now, need, parts, false)
+		if first == nil || r.cost < first.cost {
+			first = &r
+		}
+	}
+	if first == nil || split && parts < 2 {
 		return pick{}
 	}
-	p := pick{first: options[first].node}
-	chosen := []option{options[first]}
-	for i, o := range options {
-		if i != first && len(chosen) < parts {
-			chosen = append(chosen, o)
-			p.helpers = append(p.helpers, o.node)
+	chosen := []role{*first}
+	if parts > 1 {
+		chosen = append(chosen, chooseHelpers(now, need, nodes, parts, share, first.node)...)
+	}
+	if len(chosen) < parts {
+		return pick{}
+	}
+	p := first.pick(need, chosen)
+	p.split = split
+	return p
+}
+
+func chooseHelpers(now clock.Millis, need Need, nodes []*node, parts, memory int, first *node) []role {
+	roles := make([]role, 0, len(nodes))
+	for _, n := range nodes {
+		if n != first && n.fits(memory) {
+			roles = append(roles, n.weigh(now, need, parts, true))
+		}
+	}
+	slices.SortStableFunc(roles, func(a, b role) int { return cmp.Compare(a.cost, b.cost) })
+	return roles[:min(len(roles), parts-1)]
+}
+
+// weigh returns what it costs that an engine reads one of several equal parts.
+func (n *node) weigh(now clock.Millis, need Need, parts int, helper bool) role {
+	r := role{node: n}
+	part := n.engine.PartTime(need.Prompt, parts)
+	tokens := need.Prompt / parts
+	r.predicted = n.predict(part, tokens, helper)
+	r.delayed = n.harm(now, part, tokens, helper)
+	r.cost = need.loss(r.predicted) + n.risk(now)*need.value()
+	for _, lost := range r.delayed {
+		r.cost += lost
+	}
+	return r
+}
+
+// pick sums up what a choice of engines costs; a work that several of them delay is counted once.
+func (first *role) pick(need Need, chosen []role) pick {
+	p := pick{first: first.node}
+	delayed := make(map[key]float64)
+	for i, r := range chosen {
+		if i > 0 {
+			p.helpers = append(p.helpers, r.node)
+		}
+		p.predicted = max(p.predicted, r.predicted)
+		p.cost += r.cost - need.loss(r.predicted)
+		for k, lost := range r.delayed {
+			p.cost -= lost
+			delayed[k] = max(delayed[k], lost)
 		}
 	}
-	for _, o := range chosen {
-		p.predicted = max(p.predicted, o.predicted)
-		p.cost += o.cost - loss(float64(need.Elapsed)+o.predicted, need.Aim, need.value())/float64(parts)
+	for _, lost := range delayed {
+		p.cost += lost
 	}
-	p.cost += loss(float64(need.Elapsed)+p.predicted, need.Aim, need.value())
-	p.cost += partCost * need.value() * float64(parts-1)
+	p.cost += need.loss(p.predicted) + partCost*need.value()*float64(len(chosen)-1)
 	return p
 }
 
-func (n *node) fits(need Need, _ int) bool {
-	memory := float64(n.engine.Memory)
-	return memory == 0 || n.running() == 0 && need.Prompt+need.Output <= n.engine.Memory ||
-		float64(n.held()+need.Prompt+need.Output) <= memoryShare*memory
+func (n Need) loss(predicted float64) float64 {
+	return loss(float64(n.Elapsed)+predicted, n.Aim, n.value())
 }
 
-// predict returns how long it takes until a further prompt's first event, in milliseconds.
-func (n *node) predict(part float64, tokens int) float64 {
+// fits reports whether an engine has the memory for some more tokens.
+func (n *node) fits(tokens int) bool {
+	limit := memoryShare * float64(n.engine.Memory)
+	return limit == 0 || tokens == 0 || float64(n.held()+tokens) <= limit
+}
+
+// predict returns how long it takes until a further prompt's first event, in milliseconds. A helper's part is read
+// before all that waits, and takes no slot.
+func (n *node) predict(part float64, tokens int, helper bool) float64 {
 	writers, context, backlog, unread := n.load()
 	e := n.engine
 	wait := 0.0
-	if over := n.running() - n.slots(); over >= 0 {
+	if over := n.running() - n.slots(); over >= 0 && !helper {
 		wait = float64(over+1) * n.slotTime(writers, context)
 	}
+	current := 0.0
+	if writers > 0 {
+		current = e.PassTime(writers, context, backlog, unread) / 2
+	}
+	if helper {
+		backlog, unread = 0, 0
+	}
 	total := backlog + part
 	if writers == 0 && wait == 0 {
 		return (total + e.WriteTime(1, tokens)) * n.slowness()
 	}
-	current := e.PassTime(writers, context, backlog, unread) / 2
 	passes := 1.0
 	if most := e.PassTokens(); most > 0 {
 		passes += float64((unread + tokens) / most)
@@ -167,27 +238,28 @@
 	return passes * n.engine.WriteTime(max(writers, 1), context) / float64(n.slots())
 }
 
-// harm returns the value that others on an engine lose when it reads a further part; a helper's part goes ahead of theirs.
-func (n *node) harm(now clock.Millis, part float64, tokens int, ahead bool) float64 {
+// harm returns the value that others on an engine lose when it reads a further part, by work.
+func (n *node) harm(now clock.Millis, part float64, tokens int, helper bool) map[key]float64 {
 	writers, context, backlog, unread := n.load()
 	before := n.engine.PassTime(writers, context, backlog, unread) * n.slowness()
 	after := n.engine.PassTime(writers, context, backlog+part, unread+tokens) * n.slowness()
-	total := 0.0
+	delayed := make(map[key]float64)
 	for _, j := range n.jobs {
-		if j.helper {
-			continue
+		if j.reading <= 0 && !j.helper {
+			delayed[j.key] = (late(after, j.work.Pause) - late(before, j.work.Pause)) * j.work.value()
 		}
-		if j.reading > 0 {
-			if !ahead {
-				continue
-			}
-			elapsed := float64(now - j.placed)
-			total += loss(elapsed+before+part, j.work.Aim, j.work.value()) - loss(elapsed+before, j.work.Aim, j.work.value())
-			continue
-		}
-		total += late(after, j.work.Pause)*j.work.value() - late(before, j.work.Pause)*j.work.value()
 	}
-	return total
+	if !helper {
+		return delayed
+	}
+	done := 0.0
+	for _, j := range n.unread() {
+		done += j.reading
+		at := float64(now-j.placed) + done*n.slowness()
+		lost := loss(at+part*n.slowness(), j.work.Aim, j.work.value()) - loss(at, j.work.Aim, j.work.value())
+		delayed[j.key] = lost
+	}
+	return delayed
 }
 
 // loss is the value lost when the first event comes after some milliseconds.
--- a/internal/board/node.go
+++ b/internal/board/node.go
@@ -46,15 +46,28 @@
 		read := float64(n.engine.Chunk) / n.engine.ReadRate
 		elapsed *= read / (read + step)
 	}
-	for _, helper := range []bool{true, false} {
-		for _, j := range n.jobs {
-			if j.helper == helper && j.reading > 0 {
-				done := min(j.reading, elapsed)
-				j.reading -= done
-				elapsed -= done
-			}
+	for _, j := range n.unread() {
+		done := min(j.reading, elapsed)
+		j.reading -= done
+		elapsed -= done
+	}
+}
+
+// unread returns what is left to read in the order in which an engine reads it: helpers' parts first, the newest of
+// them before all, then its own prompts as they came.
+func (n *node) unread() []*job {
+	var parts, own []*job
+	for _, j := range n.jobs {
+		switch {
+		case j.reading <= 0:
+		case j.helper:
+			parts = append(parts, j)
+		default:
+			own = append(own, j)
 		}
 	}
+	slices.Reverse(parts)
+	return append(parts, own...)
 }
 
 // load returns the answers being written, their context, and what is left to read, in milliseconds and tokens.
@@ -87,9 +100,7 @@
 func (n *node) held() int {
 	tokens := 0
 	for _, j := range n.jobs {
-		if !j.helper {
-			tokens += j.work.Prompt + j.work.Output
-		}
+		tokens += j.work.memory(j.helper)
 	}
 	return tokens
 }
--- a/internal/board/work.go
+++ b/internal/board/work.go
@@ -43,12 +43,27 @@
 	Output  int          `cbor:"5,keyasint,omitempty"`
 	Aim     clock.Millis `cbor:"6,keyasint,omitempty"`
 	Pause   clock.Millis `cbor:"7,keyasint,omitempty"`
-	Begun   bool         `cbor:"8,keyasint,omitempty"` // the first event has come
-	Age     clock.Millis `cbor:"9,keyasint,omitempty"` // since it was placed
+	Begun   bool         `cbor:"8,keyasint,omitempty"`  // the first event has come
+	Age     clock.Millis `cbor:"9,keyasint,omitempty"`  // since it was placed
+	Split   bool         `cbor:"10,keyasint,omitempty"` // helpers keep the memory of the parts that they read
 }
 
 func (w Work) value() float64 { return float64(w.Prompt + outputWeight*w.Output) }
 
+// memory returns the tokens that the work holds at its first target or at each helper.
+func (w Work) memory(helper bool) int {
+	switch {
+	case w.Split && helper:
+		return w.Prompt / (1 + len(w.Helpers))
+	case w.Split:
+		return w.Prompt/(1+len(w.Helpers)) + w.Output
+	case helper:
+		return 0
+	default:
+		return w.Prompt + w.Output
+	}
+}
+
 // key names a work among all instances.
 type key struct {
 	owner  string
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,11 +12,13 @@
 	"github.com/corianderpier/corianderpier/internal/board"
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/retry"
+	"github.com/corianderpier/corianderpier/internal/ticket"
 )
 
 const (
 	maxAnswer   = 16 << 20             // bytes of an answer that is not a stream
 	dialRetries = 3                    // targets that may prove unreachable without counting as attempts
+	holdTries   = 3                    // placements whose memory is asked for
 	minLeft     = 20 * clock.Millis(1) // a request with less time left is not sent
 )
 
@@ -25,6 +27,8 @@
 	Place func(n board.Need) (*board.Placement, error)
 	// Send starts a request at a placement; id is the last event that the caller has.
 	Send func(ctx context.Context, r Request, p *board.Placement, after int) (*Answer, error)
+	// Tickets holds memory on helpers for prompts that are too large for one engine.
+	Tickets *ticket.Holder
 	// Refuse answers a caller who gets no answer of a target.
 	Refuse func(w http.ResponseWriter, r Request, no Refusal)
 	// Budget returns the bounds of repeats for a service.
@@ -41,6 +45,7 @@
 	exclude map[string]bool
 	sent    int // attempts that reached a target
 	dials   int // attempts that reached none
+	holds   int // attempts for which the memory was not had
 	ran     bool
 	begun   bool // the answer to the caller has begun
 	broken  bool // the connection to the caller is to be broken off
@@ -49,7 +54,9 @@
 	target  string
 	wanted  clock.Millis // predicted time to the first event
 	first   clock.Millis // time to the first event
-	helpers int
+	helpers []string     // targets that read a part
+	heard   clock.Millis // when the last event came
+	pause   clock.Millis // longest between events
 }
 
 // Serve answers a request.
@@ -61,8 +68,8 @@
 	outcome := s.serve(ctx)
 	metrics.GetOrCreateCounter(`pier_relay_requests_total{outcome="` + outcome + `"}`).Inc()
 	slog.Info("request", "request", r.ID, "service", r.Service, "customer", r.Customer, "outcome", outcome,
-		"target", s.target, "sent", s.sent, "unreachable", s.dials, "prompt", r.Prompt, "parts", s.helpers+1,
-		"predicted_ms", int64(s.wanted), "first_ms", int64(s.first), "events", s.events,
+		"target", s.target, "sent", s.sent, "unreachable", s.dials, "prompt", r.Prompt, "helpers", s.helpers,
+		"predicted_ms", int64(s.wanted), "first_ms", int64(s.first), "events", s.events, "aim_ms", int64(r.Aim), "pause_ms", int64(s.pause), "pause_aim_ms", int64(r.Pause),
 		"took_ms", int64(clock.Now()-r.Arrived))
 	if s.broken {
 		panic(http.ErrAbortHandler) // closes the connection, so that the answer does not look whole
@@ -79,12 +86,14 @@
 		if err != nil {
 			return s.refuse(placeReason(err))
 		}
-		s.target, s.wanted, s.helpers = p.Target.ID, p.Predicted, len(p.Helpers)
+		s.target, s.wanted, s.helpers = p.Target.ID, p.Predicted, p.HelperIDs()
 		done, again := s.attempt(ctx, p)
 		if done != "" {
 			return done
 		}
-		s.exclude[p.Target.ID] = true
+		if p.Memory == 0 {
+			s.exclude[p.Target.ID] = true
+		}
 		if !again {
 			return s.giveUp(ctx)
 		}
@@ -98,6 +107,13 @@
 func (s *run) attempt(ctx context.Context, p *board.Placement) (done string, again bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	release, err := s.hold(ctx, p)
+	if err != nil {
+		p.End(board.Unjudged)
+		s.holds++
+		return "", s.holds < holdTries && ctx.Err() == nil
+	}
+	defer release()
 	answer, err := s.relay.Send(ctx, s.Request, p, s.last)
 	if err == nil || KindOf(err) != Untouched {
 		s.sent++
@@ -121,6 +137,22 @@
 	}
 }
 
+// hold reserves the memory that a placement needs on its helpers; the function that it returns gives it back.
+func (s *run) hold(ctx context.Context, p *board.Placement) (func(), error) {
+	if p.Memory == 0 {
+		return func() {}, nil
+	}
+	parts := make([]ticket.Part, len(p.Helpers))
+	for i, h := range p.Helpers {
+		parts[i] = ticket.Part{ID: p.TicketID(i), Target: h.ID, Addr: h.Addr, Tokens: p.Memory}
+	}
+	held, err := s.relay.Tickets.Take(ctx, parts)
+	if err != nil {
+		return nil, err
+	}
+	return held.Release, nil
+}
+
 // failed deals with an attempt without an answer.
 func (s *run) failed(ctx context.Context, p *board.Placement, err error) (string, bool) {
 	kind := KindOf(err)
@@ -225,6 +257,11 @@
 			s.last = e.id
 		}
 		s.events++
+		now := clock.Now()
+		if s.heard > 0 {
+			s.pause = max(s.pause, now-s.heard)
+		}
+		s.heard = now
 		if _, err := s.w.Write(e.data); err != nil {
 			p.End(board.Unjudged)
 			return "caller_gone", false
--- /dev/null
+++ b/internal/ticket/error.go
@@ -0,0 +1,29 @@
+package ticket
+
+// Kind classifies a failure.
+type Kind string
+
+// The kinds of failure.
+const (
+	Taken  Kind = "taken"  // the engine has not got the memory
+	Silent Kind = "silent" // the engine did not answer
+)
+
+// Error is a ticket that was not had.
+type Error struct {
+	Op     string
+	Kind   Kind
+	Target string
+	Err    error
+}
+
+func (e *Error) Error() string {
+	text := e.Op + " at " + e.Target + ": " + string(e.Kind)
+	if e.Err == nil {
+		return text
+	}
+	return text + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/ticket/ticket.go
@@ -0,0 +1,115 @@
+package ticket
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+)
+
+const (
+	holdTime     = 4 * clock.Second       // of a lease; short, as it may outlive its holder
+	renewPeriod  = 1200 * clock.Millis(1) // three renewals may get lost before a lease lapses
+	orderTimeout = 400 * clock.Millis(1)  // until an engine's answer is no longer waited for
+	releaseTries = 8
+	releasePause = 300 * clock.Millis(1)
+)
+
+// Part is memory of one engine.
+type Part struct {
+	ID     string // of the lease
+	Target string // id of the engine
+	Addr   string
+	Tokens int
+}
+
+// Holder takes, renews and releases leases.
+type Holder struct {
+	Reserve func(ctx context.Context, p Part, hold clock.Millis) error // asks for a lease, or renews it
+	Release func(ctx context.Context, p Part) error
+}
+
+// Held is a set of leases.
+type Held struct {
+	holder *Holder
+	parts  []Part
+	stop   context.CancelFunc
+}
+
+// Take gets all parts or none; an error is that of the first part that was not had.
+func (h *Holder) Take(ctx context.Context, parts []Part) (*Held, error) {
+	errs := make([]error, len(parts))
+	var group sync.WaitGroup
+	for i, p := range parts {
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, orderTimeout.Duration())
+			defer cancel()
+			errs[i] = h.Reserve(ctx, p, holdTime)
+		})
+	}
+	group.Wait()
+	renewing, stop := context.WithCancel(context.WithoutCancel(ctx))
+	held := &Held{holder: h, parts: parts, stop: stop}
+	for i, err := range errs {
+		if err != nil {
+			metrics.GetOrCreateCounter(`pier_ticket_events_total{event="not_had"}`).Inc()
+			slog.Info("memory not had", "ticket", parts[i].ID, "target", parts[i].Target, "tokens", parts[i].Tokens, "error", err.Error())
+			held.Release()
+			return nil, err
+		}
+	}
+	metrics.GetOrCreateCounter(`pier_ticket_events_total{event="held"}`).Inc()
+	go held.renew(renewing)
+	return held, nil
+}
+
+// renew keeps the leases until they are released.
+func (h *Held) renew(ctx context.Context) {
+	ticker := time.NewTicker(renewPeriod.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, p := range h.parts {
+			go h.renewPart(ctx, p)
+		}
+	}
+}
+
+func (h *Held) renewPart(ctx context.Context, p Part) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout.Duration())
+	defer cancel()
+	if err := h.holder.Reserve(ctx, p, holdTime); err != nil && ctx.Err() == nil {
+		metrics.GetOrCreateCounter(`pier_ticket_events_total{event="not_renewed"}`).Inc()
+		slog.Info("memory not renewed", "ticket", p.ID, "target", p.Target, "error", err.Error())
+	}
+}
+
+// Release gives all parts back, without waiting for the engines.
+func (h *Held) Release() {
+	h.stop()
+	for _, p := range h.parts {
+		go h.holder.release(p)
+	}
+}
+
+// release repeats a release until the engine confirms it, or the lease has lapsed.
+func (h *Holder) release(p Part) {
+	for range releaseTries {
+		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout.Duration())
+		err := h.Release(ctx, p)
+		cancel()
+		if err == nil {
+			return
+		}
+		time.Sleep(releasePause.Duration())
+	}
+	slog.Warn("memory not released, it lapses", "ticket", p.ID, "target", p.Target)
+}
--- /dev/null
+++ b/internal/ticket/ticket_test.go
@@ -0,0 +1,81 @@
+package ticket
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+)
+
+// engines is the leases of stand-in engines, by id.
+type engines struct {
+	mu    sync.Mutex
+	held  map[string]bool
+	full  map[string]bool // engines without memory
+	mute  int             // releases that stay unanswered
+	calls int
+}
+
+func (e *engines) holder() *Holder {
+	e.held = make(map[string]bool)
+	return &Holder{
+		Reserve: func(_ context.Context, p Part, _ clock.Millis) error {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.calls++
+			if e.full[p.Target] {
+				return &Error{Op: "reserve", Kind: Taken, Target: p.Target}
+			}
+			e.held[p.ID] = true
+			return nil
+		},
+		Release: func(_ context.Context, p Part) error {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if e.mute > 0 {
+				e.mute--
+				return &Error{Op: "release", Kind: Silent, Target: p.Target}
+			}
+			delete(e.held, p.ID)
+			return nil
+		},
+	}
+}
+
+func (e *engines) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.held)
+}
+
+var parts = []Part{{ID: "a", Target: "one", Tokens: 1}, {ID: "b", Target: "two", Tokens: 1}}
+
+// A set of leases is had whole or not at all, is renewed, and is given back although an engine does not answer at first.
+func TestTakeAndRelease(t *testing.T) {
+	is := is.New(t)
+	e := &engines{mute: 1}
+	held, err := e.holder().Take(context.Background(), parts)
+	is.NoErr(err)
+	is.Equal(e.count(), 2)
+	time.Sleep(renewPeriod.Duration() + 200*time.Millisecond)
+	e.mu.Lock()
+	is.Equal(e.calls, 4)
+	e.mu.Unlock()
+	held.Release()
+	time.Sleep(2 * releasePause.Duration())
+	is.Equal(e.count(), 0)
+}
+
+// When one engine has no memory, what the others granted is given back.
+func TestAllOrNothing(t *testing.T) {
+	is := is.New(t)
+	e := &engines{full: map[string]bool{"two": true}}
+	_, err := e.holder().Take(context.Background(), parts)
+	is.True(err != nil)
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(e.count(), 0)
+}
