--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -150,6 +150,9 @@
 			return nil, &Error{Op: "place", Kind: TooLarge}
 		}
 		chosen = chooseEngine(now, need, nodes)
+		if chosen.first != nil && chosen.cost+price(nodes)*engine.ReadTime(need.Prompt) > need.value() {
+			return nil, &Error{Op: "place", Kind: Costly}
+		}
 	} else {
 		chosen = choosePlain(now, b.Zone, nodes)
 	}
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -10,17 +10,20 @@
 )
 
 const (
-	lateShare   = 0.75 // of a request's value that is lost when it is late
-	lostShare   = 0.25 // that is lost in addition when the caller gives up
-	slopeShare  = 0.02 // of the value for each aim that the first event takes, so that of two in time the sooner is chosen
-	soonEdge    = 0.75 // of an aim: predictions above it begin to count as late
-	lateEdge    = 1.15 // of an aim: predictions above it count as late for certain
-	maxParts    = 16   // engines that read one prompt
-	spreadAbove = 0.2  // of its aim: a prompt that takes longer to read may be read by several engines
-	partCost    = 0.01 // of its value for each further engine that reads a prompt, as later ones find fewer engines free
-	memoryShare = 0.9  // of an engine's memory that is given out
-	zoneCost    = 0.3  // slots that a plain target in another zone seems busier
-	patience    = 4    // aims after which callers give up
+	lateShare   = 0.75                   // of a request's value that is lost when it is late
+	lostShare   = 0.25                   // that is lost in addition when the caller gives up
+	slopeShare  = 0.1                   // of the value for each aim that the first event takes, so that of two in time the sooner is chosen
+	soonEdge    = 0.75                   // of an aim: predictions above it begin to count as late
+	lateEdge    = 1.15                   // of an aim: predictions above it count as late for certain
+	maxParts    = 16                     // engines that read one prompt
+	spreadAbove = 0.2                    // of its aim: a prompt that takes longer to read may be read by several engines
+	partCost    = 0.003                   // of its value for each further engine that reads a prompt, as later ones find fewer engines free
+	memoryShare = 0.9                    // of an engine's memory that is given out
+	idleBacklog = 300 * clock.Millis(1)  // unread at each engine on average, up to which their time costs nothing
+	fullBacklog = 1500 * clock.Millis(1) // at which it costs the most
+	timePrice   = 20.0                   // value of a millisecond of a loaded engine, in tokens
+	zoneCost    = 0.3                    // slots that a plain target in another zone seems busier
+	patience    = 4                      // aims after which callers give up
 	minPatience = 2 * clock.Second
 )
 
@@ -35,6 +38,17 @@
 	number uint64
 }
 
+// price returns what a millisecond of the engines' time is worth to others, by how much waits to be read.
+func price(nodes []*node) float64 {
+	total := 0.0
+	for _, n := range nodes {
+		_, _, backlog, _ := n.load()
+		total += backlog
+	}
+	mean := total / float64(len(nodes))
+	return timePrice * min(1, max(0, mean-float64(idleBacklog))/float64(fullBacklog-idleBacklog))
+}
+
 // HelperIDs returns the ids of the engines that read a part of the prompt.
 func (p *Placement) HelperIDs() []string {
 	ids := make([]string, len(p.Helpers))
--- a/internal/board/error.go
+++ b/internal/board/error.go
@@ -8,6 +8,7 @@
 	NoTarget Kind = "no target" // no target of the service is known
 	TooLarge Kind = "too large" // no engine has the memory
 	Full     Kind = "full"      // the answer could not begin before the deadline
+	Costly   Kind = "costly"    // it would take more from others than it is worth
 	Stopped  Kind = "stopped"   // the instance ends
 )
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -34,7 +34,7 @@
 	// Budget returns the bounds of repeats for a service.
 	Budget func(service string) *retry.Budget
 	// Later says when a caller who was refused may come again.
-	Later func(r Request) clock.Millis
+	Later func(r Request, reason Reason) clock.Millis
 }
 
 // run is the state of one request over its attempts.
@@ -301,7 +301,7 @@
 	}
 	no := Refusal{Reason: reason, Ran: s.ran}
 	if !s.ran {
-		no.Later = s.relay.Later(s.Request)
+		no.Later = s.relay.Later(s.Request, reason)
 	}
 	s.relay.Refuse(s.w, s.Request, no)
 	return string(reason)
@@ -323,6 +323,8 @@
 		return NoTarget
 	case board.TooLarge:
 		return TooLarge
+	case board.Costly:
+		return Costly
 	default:
 		return Full
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -85,7 +85,7 @@
 	budget := &retry.Budget{Extra: 10, Window: clock.Second, Now: clock.Now}
 	l := &Relay{
 		Place: b.Place, Send: s.send, Budget: func(string) *retry.Budget { return budget },
-		Later: func(Request) clock.Millis { return 100 },
+		Later: func(Request, Reason) clock.Millis { return 100 },
 		Refuse: func(w http.ResponseWriter, _ Request, no Refusal) {
 			if no.Ran {
 				w.WriteHeader(http.StatusBadGateway)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -74,6 +74,7 @@
 	NoKey        Reason = "no_key"        // the caller's key is not known
 	NoTarget     Reason = "no_target"     // the service has no target
 	TooLarge     Reason = "too_large"     // no engine can hold the prompt
+	Costly       Reason = "costly"        // the engines are loaded, and the prompt would make others late
 	Full         Reason = "full"          // all targets are busy
 	Refused      Reason = "refused"       // the targets that were tried did not run it
 	Expired      Reason = "expired"       // the time was up before a target was tried
