board: Keep a quarter of the engines from reading one prompt, and bound the slope

A prompt that idle engines could serve late was refused, as each further aim cost a tenth of its value, and one long read took every idle engine.

--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -15,8 +15,10 @@
 	slopeShare  = 0.1                    // of the value for each aim that the first event takes, so that of two in time the sooner is chosen
 	soonEdge    = 0.75                   // of an aim: predictions above it begin to count as late
 	lateEdge    = 1.15                   // of an aim: predictions above it count as late for certain
+	partShare   = 0.75                   // of the engines: the most that read one prompt, so that some stay free for short ones
 	maxParts    = 16                     // engines that read one prompt
 	spreadAbove = 0.2                    // of its aim: a prompt that takes longer to read may be read by several engines
+	lateSlope   = 0.01                   // the same for each further aim
 	goneFrom    = 0.6                    // of a caller's patience: predictions above it begin to count as lost
 	goneFor     = 0.9                    // of a caller's patience: predictions above it count as lost for certain
 	partCost    = 0.003                  // of its value for each further engine that reads a prompt, as later ones find fewer engines free
@@ -98,7 +100,11 @@
 	best := pick{}
 	aim := float64(max(need.Aim, 1))
 	whole := slices.ContainsFunc(nodes, func(n *node) bool { return n.fits(need.Prompt + need.Output) })
-	for parts := 1; parts <= min(len(nodes), maxParts); parts++ {
+	most := min(maxParts, max(1, int(partShare*float64(len(nodes)))))
+	if !whole {
+		most = min(maxParts, len(nodes))
+	}
+	for parts := 1; parts <= most; parts++ {
 		if parts > 1 && whole && nodes[0].engine.ReadTime(need.Prompt) < spreadAbove*aim {
 			break
 		}
@@ -285,7 +291,8 @@
 	}
 	limit := float64(max(patience*aim, minPatience))
 	gone := min(1, max(0, predicted/limit-goneFrom)/(goneFor-goneFrom))
-	return value * (late(predicted, aim) + lostShare*gone + slopeShare*predicted/float64(aim))
+	aims := predicted / float64(aim)
+	return value * (late(predicted, aim) + lostShare*gone + slopeShare*min(1, aims) + lateSlope*max(0, aims-1))
 }
 
 // late is the share of value lost when something takes some milliseconds, against what is wanted.
