logs: Write logs through a bounded queue, each kind at a bounded rate

Cause: a process wrote its log lines itself; an output that nobody reads would have stopped it, and nothing bounded the volume.

Ruled out: dropping by level; the lines of requests are the ones that on-call needs.

Conclusion: what is left out is counted and told.

--- a/cmd/corianderpier/main.go
+++ b/cmd/corianderpier/main.go
@@ -9,12 +9,14 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/corianderpier/corianderpier/internal/config"
 	"github.com/corianderpier/corianderpier/internal/entry"
+	"github.com/corianderpier/corianderpier/internal/logs"
 )
 
 // Exit codes.
@@ -23,6 +25,9 @@
 	exitUsage  = 2
 )
 
+// flushTimeout bounds how long the end of the program waits for a reader of its logs.
+const flushTimeout = 200 * time.Millisecond
+
 const help = `Serves callers and routes their requests to targets.
 
 A SIGTERM begins a planned stop: callers are sent to other instances, admitted
@@ -76,9 +81,11 @@
 	if problems := settings.Check(); len(problems) > 0 {
 		return mistakes(problems)
 	}
-	if err := logTo(os.Stderr, settings.Level, settings.Name); err != nil {
+	flush, err := logTo(os.Stderr, settings.Level, settings.Name)
+	if err != nil {
 		return err
 	}
+	defer flush()
 	e := &entry.Entry{Settings: settings}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT)
 	defer stop()
@@ -94,15 +101,27 @@
 	return usageError{text}
 }
 
-// logTo has structured logs written to a file.
-func logTo(out *os.File, level, name string) error {
+// logTo has structured logs written to a file; the function that it returns writes what is still queued.
+func logTo(out *os.File, level, name string) (func(), error) {
 	var parsed slog.Level
 	if err := parsed.UnmarshalText([]byte(level)); err != nil {
-		return usageError{err.Error()}
+		return nil, usageError{err.Error()}
 	}
-	handler := slog.NewJSONHandler(out, &slog.HandlerOptions{Level: parsed})
-	slog.SetDefault(slog.New(handler).With("instance", name))
-	return nil
+	queue := logs.NewQueue(out)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		queue.Run(ctx)
+		close(done)
+	}()
+	slog.SetDefault(slog.New(logs.NewHandler(queue, parsed)).With("instance", name))
+	return func() {
+		cancel()
+		select {
+		case <-done:
+		case <-time.After(flushTimeout): // nobody reads the output
+		}
+	}, nil
 }
 
 // onTerm calls a function when the process is asked to stop.
--- a/cmd/corianderpier/platform.go
+++ b/cmd/corianderpier/platform.go
@@ -37,9 +37,11 @@
 	if len(problems) > 0 {
 		return mistakes(problems)
 	}
-	if err := logTo(os.Stdout, settings.Level, settings.Name); err != nil {
+	flush, err := logTo(os.Stdout, settings.Level, settings.Name)
+	if err != nil {
 		return err
 	}
+	defer flush()
 	i := &platform.Instance{Settings: settings}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT)
 	defer stop()
