board, relay: Ask engines for their state, and leave those that are slow or silent

Ruled out: each instance asking every engine (nine times the price); silence of streams alone (a pass beside a long read takes 1.5 s and is no fault).

Conclusion: one instance asks each engine once a second and tells the others; what may be repeated moves on from an engine that is down. An instance to which most engines are silent takes itself for cut off.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -28,13 +28,17 @@
 	Loop   *loop.Loop
 	Engine func(service string) (model.Engine, bool) // speed of a service's engines; false for a plain service
 	Tell   func(data []byte)                         // sends a datagram to the other instances
-
-	nodes   map[string]*node
-	own     map[uint64]*Work
-	placed  map[uint64]clock.Millis
-	pending packet
-	greet   bool // there are other instances than before, which know nothing of own work
-	number  uint64
+	// Watches reports whether this instance looks after a target, and Ask how many times as long it takes as its model says.
+	Watches func(target string) bool
+	Ask     func(ctx context.Context, t Target) (float64, error)
+
+	nodes      map[string]*node
+	own        map[uint64]*Work
+	placed     map[uint64]clock.Millis
+	placements map[uint64]*Placement
+	pending    packet
+	greet      bool // there are other instances than before, which know nothing of own work
+	number     uint64
 }
 
 // packet is what instances tell one another.
@@ -49,13 +53,6 @@
 	Reports []Report `cbor:"8,keyasint,omitempty"`
 }
 
-// Report is what a target says of itself, as instances tell one another.
-type Report struct {
-	Target string  `cbor:"1,keyasint"`
-	Pace   float64 `cbor:"2,keyasint"` // times as long as its model says; zero if it does not say
-	Down   bool    `cbor:"3,keyasint,omitempty"`
-}
-
 func (p packet) empty() bool {
 	return len(p.Placed)+len(p.Begun)+len(p.Ended)+len(p.Good)+len(p.Failed)+len(p.Dark)+len(p.Reports) == 0
 }
@@ -65,10 +62,14 @@
 	b.nodes = make(map[string]*node)
 	b.own = make(map[uint64]*Work)
 	b.placed = make(map[uint64]clock.Millis)
+	b.placements = make(map[uint64]*Placement)
 }
 
 // Run tells the other instances of own work until the context ends.
 func (b *Board) Run(ctx context.Context) error {
+	if b.Ask != nil {
+		go b.watchTargets(ctx)
+	}
 	flush := time.NewTicker(flushPeriod.Duration())
 	defer flush.Stop()
 	repeat := time.NewTicker(repeatPeriod.Duration())
@@ -194,7 +195,8 @@
 		Number: b.number, Target: chosen.first.ID, Prompt: need.Prompt, Output: need.Output, Aim: need.Aim, Pause: need.Pause,
 		Split: chosen.split,
 	}
-	p := &Placement{Target: chosen.first.Target, Predicted: clock.Millis(chosen.predicted), board: b, number: w.Number}
+	p := &Placement{Target: chosen.first.Target, Predicted: clock.Millis(chosen.predicted), board: b, number: w.Number, lost: make(chan struct{})}
+	b.placements[w.Number] = p
 	for _, h := range chosen.helpers {
 		w.Helpers = append(w.Helpers, h.ID)
 		p.Helpers = append(p.Helpers, h.Target)
@@ -288,10 +290,15 @@
 	b := p.board
 	b.Loop.Post(func() {
 		delete(b.own, p.number)
+		took := clock.Now() - b.placed[p.number]
 		delete(b.placed, p.number)
+		delete(b.placements, p.number)
 		b.ended(key{b.Self, p.number})
 		b.pending.Ended = append(b.pending.Ended, p.number)
 		id := p.Target.ID
+		if n := b.nodes[id]; n != nil && o == Good {
+			n.took(took)
+		}
 		b.judge(id, o)
 		switch o {
 		case Good:
@@ -409,6 +416,9 @@
 	for _, number := range p.Ended {
 		b.ended(key{p.From, number})
 	}
+	for _, r := range p.Reports {
+		b.believe(r)
+	}
 	for _, told := range []struct {
 		ids     []string
 		outcome Outcome
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
 )
@@ -27,6 +28,10 @@
 	fullBacklog = 1500 * clock.Millis(1) // at which it costs the most
 	timePrice   = 20.0                   // value of a millisecond of a loaded engine, in tokens
 	zoneCost    = 0.3                    // slots that a plain target in another zone seems busier
+	riskCost    = 4                      // slots' shares that a plain target seems busier if all of its requests fail
+	tieCost     = 0.01                   // of a slots' share, so that equal targets are taken in turn
+	slowTimes   = 2.5                    // as long as the fastest target's answers: a plain target that takes longer is slow
+	slowCost    = 0.2                    // slots' shares that a slow target seems busier for each time as long
 	patience    = 4                      // aims after which callers give up
 	minPatience = 2 * clock.Second
 )
@@ -40,6 +45,8 @@
 
 	board  *Board
 	number uint64
+	lost   chan struct{}
+	once   sync.Once
 }
 
 // price returns what a millisecond of the engines' time is worth to others, by how much waits to be read.
@@ -76,14 +83,23 @@
 	cost      float64
 }
 
-// choosePlain prefers targets with few requests, near, and without failures.
+// choosePlain prefers targets that answer soon, with few requests, near, and without failures.
 func choosePlain(now clock.Millis, zone string, nodes []*node) pick {
+	fastest := 0.0
+	for _, n := range nodes {
+		if t := n.usual(now); t > 0 && (fastest == 0 || t < fastest) {
+			fastest = t
+		}
+	}
 	best := pick{}
 	for _, n := range nodes {
-		cost := float64(n.running())/float64(max(n.Slots, 1)) + 4*n.risk(now) + 0.01*rand.Float64()
+		cost := float64(n.running())/float64(max(n.Slots, 1)) + riskCost*n.risk(now) + tieCost*rand.Float64()
 		if n.Zone != zone {
 			cost += zoneCost / float64(max(n.Slots, 1))
 		}
+		if t := n.usual(now); t > slowTimes*fastest {
+			cost += slowCost * t / fastest
+		}
 		if best.first == nil || cost < best.cost {
 			best = pick{first: n, cost: cost}
 		}
--- a/internal/board/node.go
+++ b/internal/board/node.go
@@ -12,26 +12,54 @@
 	faultWindow  = 4 * clock.Second // over which failures are forgotten
 	ejectTime    = clock.Second     // after a failure that proves a target unreachable; doubled with each further one
 	maxEjectTime = 8 * clock.Second
+	answerWeight = 0.3 // of the last answer's time
 )
 
 // node is what this instance knows of one target.
 type node struct {
 	Target
-	jobs    []*job
-	moved   clock.Millis // up to which reading is accounted for
-	faults  float64      // decaying
-	good    float64      // decaying
-	decayed clock.Millis
-	ejected clock.Millis // until
-	ejects  int
-	gone    bool    // no longer listed
-	pace    float64 // times as long as the model says, as the target reports
-	engine  model.Engine
+	jobs     []*job
+	moved    clock.Millis // up to which reading is accounted for
+	faults   float64      // decaying
+	good     float64      // decaying
+	decayed  clock.Millis
+	ejected  clock.Millis // until
+	ejects   int
+	gone     bool         // no longer listed
+	down     bool         // it did not answer when it was asked for its state
+	pace     float64      // times as long as the model says, as the target reports
+	paced    clock.Millis // when it reported that
+	answer   float64      // milliseconds that its answers take, smoothed
+	answered clock.Millis // when the last one came
+	engine   model.Engine
 }
 
 func (n *node) usable(now clock.Millis) bool { return !n.gone && !n.Draining && now >= n.ejected }
 
-func (n *node) slowness() float64 { return max(n.pace, 1) }
+// slowness returns how many times as long the engine takes as its model says.
+func (n *node) slowness() float64 {
+	if clock.Now()-n.paced > reportValid {
+		return 1
+	}
+	return max(n.pace, 1)
+}
+
+// took notes how long an answer took.
+func (n *node) took(t clock.Millis) {
+	if clock.Now()-n.answered > faultWindow || n.answer == 0 {
+		n.answer = float64(t)
+	}
+	n.answer += answerWeight * (float64(t) - n.answer)
+	n.answered = clock.Now()
+}
+
+// usual returns how long answers took lately, or zero if that is not known.
+func (n *node) usual(now clock.Millis) float64 {
+	if now-n.answered > faultWindow {
+		return 0
+	}
+	return n.answer
+}
 
 // advance accounts for the reading that was done since the last call.
 func (n *node) advance(now clock.Millis) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
@@ -40,6 +41,7 @@
 // run is the state of one request over its attempts.
 type run struct {
 	Request
+	ctx     context.Context // of the whole request
 	relay   *Relay
 	w       http.ResponseWriter
 	exclude map[string]bool
@@ -47,9 +49,10 @@
 	dials   int // attempts that reached none
 	holds   int // attempts for which the memory was not had
 	ran     bool
-	begun   bool // the answer to the caller has begun
-	broken  bool // the connection to the caller is to be broken off
-	last    int  // id of the last event that was passed on
+	begun   bool        // the answer to the caller has begun
+	broken  bool        // the connection to the caller is to be broken off
+	lost    atomic.Bool // the target of this attempt was found to be down
+	last    int         // id of the last event that was passed on
 	events  int
 	target  string
 	wanted  clock.Millis // predicted time to the first event
@@ -63,7 +66,7 @@
 func (l *Relay) Serve(ctx context.Context, w http.ResponseWriter, r Request) {
 	ctx, cancel := context.WithDeadline(ctx, r.end().Time())
 	defer cancel()
-	s := &run{Request: r, relay: l, w: w, exclude: make(map[string]bool), last: r.After}
+	s := &run{Request: r, ctx: ctx, relay: l, w: w, exclude: make(map[string]bool), last: r.After}
 	l.Budget(r.Service).First()
 	outcome := s.serve(ctx)
 	metrics.GetOrCreateCounter(`pier_relay_requests_total{outcome="` + outcome + `"}`).Inc()
@@ -114,6 +117,9 @@
 		return "", s.holds < holdTries && ctx.Err() == nil
 	}
 	defer release()
+	ended := make(chan struct{})
+	defer close(ended)
+	go s.watch(p, ended, cancel)
 	answer, err := s.relay.Send(ctx, s.Request, p, s.last)
 	if err == nil || KindOf(err) != Untouched {
 		s.sent++
@@ -137,6 +143,18 @@
 	}
 }
 
+// watch cuts an attempt off whose target was found to be down, if the request may go on elsewhere and hears nothing.
+func (s *run) watch(p *board.Placement, ended <-chan struct{}, cancel context.CancelFunc) {
+	select {
+	case <-ended:
+	case <-p.Lost():
+		if s.repeatable() {
+			s.lost.Store(true)
+			cancel()
+		}
+	}
+}
+
 // hold reserves the memory that a placement needs on its helpers; the function that it returns gives it back.
 func (s *run) hold(ctx context.Context, p *board.Placement) (func(), error) {
 	if p.Memory == 0 {
@@ -156,6 +174,9 @@
 // failed deals with an attempt without an answer.
 func (s *run) failed(ctx context.Context, p *board.Placement, err error) (string, bool) {
 	kind := KindOf(err)
+	if s.lost.Swap(false) {
+		kind, ctx = Silent, s.ctx
+	}
 	slog.Info("attempt failed", "request", s.ID, "target", p.Target.ID, "error", err.Error(), "ended", ctx.Err() != nil)
 	if kind == Untouched {
 		s.dials++
