--- a/internal/flow/prompt.go
+++ b/internal/flow/prompt.go
@@ -8,7 +8,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
-	"golang.org/x/time/rate"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/config"
@@ -16,6 +15,7 @@
 	"github.com/corianderpier/corianderpier/internal/fence"
 	"github.com/corianderpier/corianderpier/internal/member"
 	"github.com/corianderpier/corianderpier/internal/peer"
+	"github.com/corianderpier/corianderpier/internal/retry"
 	"github.com/corianderpier/corianderpier/internal/route"
 	"github.com/corianderpier/corianderpier/internal/sweep"
 	"github.com/corianderpier/corianderpier/internal/target"
@@ -26,8 +26,9 @@
 	stall       = 1500 * clock.Millis(1) // without a byte from an engine
 	maxResumes  = 2                      // of one attempt, on new connections
 	prefixBytes = 4096                   // of a prompt, for cache affinity
-	retryRate   = 20                     // retries a second for each service
-	retryBurst  = 50
+	retryRatio  = 0.2                    // retries for each request of a service
+	retryExtra  = 50                     // retries in the window beyond the ratio
+	retryWindow = 10 * clock.Second
 	placePause  = 50 * clock.Millis(1)
 )
 
@@ -43,7 +44,7 @@
 	Release func(home member.Member, a route.Ask)
 
 	mu      sync.Mutex
-	budgets map[string]*rate.Limiter
+	budgets map[string]*retry.Budget
 }
 
 // place is where an attempt runs.
@@ -76,12 +77,13 @@
 	if len(job.Body) >= prefixBytes {
 		r.prefix = xxhash.Sum64String(job.Body[:prefixBytes])
 	}
+	p.budget(service.Name).First()
 	for {
 		done, err := p.attempt(ctx, r)
 		if done || err != nil {
 			return err
 		}
-		if !p.budget(service.Name).Allow() {
+		if !p.budget(service.Name).Repeat() {
 			countRetry("budget_spent")
 			return r.fail("run", wire.ReasonTargetFailed, r.last)
 		}
@@ -273,18 +275,17 @@
 	return where, true
 }
 
-func (p *Prompts) budget(service string) *rate.Limiter {
+func (p *Prompts) budget(service string) *retry.Budget {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.budgets == nil {
-		p.budgets = make(map[string]*rate.Limiter)
+		p.budgets = make(map[string]*retry.Budget)
 	}
-	b := p.budgets[service]
-	if b == nil {
-		b = rate.NewLimiter(retryRate, retryBurst)
-		p.budgets[service] = b
+	if p.budgets[service] == nil {
+		bounds := retry.Bounds{Ratio: retryRatio, Extra: retryExtra, Window: retryWindow}
+		p.budgets[service] = &retry.Budget{Bounds: func() retry.Bounds { return bounds }, Now: clock.Now}
 	}
-	return b
+	return p.budgets[service]
 }
 
 func (r *run) fail(op string, reason wire.Reason, err error) error {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -70,6 +70,10 @@
 	l.Budget(r.Service).First()
 	outcome := s.serve(ctx)
 	metrics.GetOrCreateCounter(`pier_relay_requests_total{outcome="` + outcome + `"}`).Inc()
+	if s.first > 0 {
+		metrics.GetOrCreateHistogram(`pier_relay_first_seconds{service="` + r.Service + `"}`).Update(float64(s.first) / 1000)
+	}
+	metrics.GetOrCreateHistogram(`pier_relay_seconds{service="` + r.Service + `"}`).Update(float64(clock.Now()-r.Arrived) / 1000)
 	slog.Info("request", "request", r.ID, "service", r.Service, "customer", r.Customer, "outcome", outcome,
 		"target", s.target, "sent", s.sent, "unreachable", s.dials, "prompt", r.Prompt, "helpers", s.helpers,
 		"predicted_ms", int64(s.wanted), "first_ms", int64(s.first), "events", s.events, "aim_ms", int64(r.Aim), "pause_ms", int64(s.pause), "pause_aim_ms", int64(r.Pause),
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -82,7 +82,7 @@
 	go func() { _ = b.Loop.Run(ctx) }()
 	b.Replace([]board.Target{{ID: "one", Service: "desk", Slots: 6}, {ID: "two", Service: "desk", Slots: 6}})
 	s = &script{steps: steps}
-	budget := &retry.Budget{Extra: 10, Window: clock.Second, Now: clock.Now}
+	budget := &retry.Budget{Bounds: func() retry.Bounds { return retry.Bounds{Extra: 10, Window: clock.Second} }, Now: clock.Now}
 	l := &Relay{
 		Place: b.Place, Send: s.send, Budget: func(string) *retry.Budget { return budget },
 		Later: func(Request, Reason) clock.Millis { return 100 },
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -8,11 +8,16 @@
 
 const slices = 10 // of the window
 
-// Budget allows repeats in proportion to first tries, and a few more.
-type Budget struct {
+// Bounds say how many repeats are allowed.
+type Bounds struct {
 	Ratio  float64      // repeats for each first try in the window
 	Extra  int          // repeats in the window beyond the ratio
 	Window clock.Millis // that slides
+}
+
+// Budget allows repeats in proportion to first tries, and a few more.
+type Budget struct {
+	Bounds func() Bounds // in force now
 	Now    func() clock.Millis
 
 	mu      sync.Mutex
@@ -25,7 +30,7 @@
 func (b *Budget) First() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.turn()
+	b.turn(b.Bounds().Window)
 	b.firsts[b.slice%slices]++
 }
 
@@ -33,13 +38,14 @@
 func (b *Budget) Repeat() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.turn()
+	bounds := b.Bounds()
+	b.turn(bounds.Window)
 	firsts, repeats := 0, 0
 	for i := range slices {
 		firsts += b.firsts[i]
 		repeats += b.repeats[i]
 	}
-	if float64(repeats+1) > b.Ratio*float64(firsts)+float64(b.Extra) {
+	if float64(repeats+1) > bounds.Ratio*float64(firsts)+float64(bounds.Extra) {
 		return false
 	}
 	b.repeats[b.slice%slices]++
@@ -47,8 +53,8 @@
 }
 
 // turn clears the slices that have left the window.
-func (b *Budget) turn() {
-	now := int64(b.Now()) * slices / int64(max(b.Window, slices))
+func (b *Budget) turn(window clock.Millis) {
+	now := int64(b.Now()) * slices / int64(max(window, slices))
 	if now-b.slice >= slices {
 		b.firsts, b.repeats = [slices]int{}, [slices]int{}
 		b.slice = now
