--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -18,6 +18,7 @@
 	flushPeriod  = 25 * clock.Millis(1)   // in which ends of works are gathered before they are told
 	repeatPeriod = clock.Second           // between repeats of all own work
 	silentTime   = 3500 * clock.Millis(1) // after which the work of an instance that says nothing is forgotten
+	doubtTime    = 2 * clock.Second       // within which live targets are listed again after an outage of the list
 	packetWorks  = 24                     // works in a datagram
 )
 
@@ -86,33 +87,43 @@
 	}
 }
 
-// Replace takes a new list of targets into use.
-func (b *Board) Replace(targets []Target) {
+// Replace takes a new list of targets into use. In doubt, as after an outage of the list's source, targets that are
+// missing from it are used a little longer, since those that live are listed again soon.
+func (b *Board) Replace(targets []Target, doubt bool) {
 	b.Loop.Post(func() {
 		listed := make(map[string]bool, len(targets))
 		for _, t := range targets {
 			listed[t.ID] = true
 			b.node(t.ID).list(t, b.engine(t.Service))
 		}
+		now := clock.Now()
 		for id, n := range b.nodes {
-			if listed[id] {
-				continue
-			}
-			n.gone = true
-			if len(n.jobs) == 0 {
-				delete(b.nodes, id)
+			switch {
+			case listed[id] || n.gone:
+			case !doubt:
+				b.unlist(id, n)
+			case n.missing == 0:
+				n.missing = now
 			}
 		}
 	})
 }
 
+// unlist stops the use of a target.
+func (b *Board) unlist(id string, n *node) {
+	n.gone = true
+	if len(n.jobs) == 0 {
+		delete(b.nodes, id)
+	}
+}
+
 func (b *Board) engine(service string) model.Engine {
 	e, _ := b.Engine(service)
 	return e
 }
 
 func (n *node) list(t Target, e model.Engine) {
-	n.Target, n.engine, n.gone = t, e, false
+	n.Target, n.engine, n.gone, n.missing = t, e, false, 0
 }
 
 // node returns what is known of a target, which may be known from other instances only.
@@ -377,6 +388,10 @@
 		b.send(p)
 	}
 	for id, n := range b.nodes {
+		if n.missing > 0 && now-n.missing > doubtTime {
+			slog.Info("target not listed again", "target", id)
+			n.gone = true
+		}
 		kept := n.jobs[:0]
 		for _, j := range n.jobs {
 			if j.owner == b.Self || now-j.heard < silentTime {
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -54,7 +54,7 @@
 	}
 	for _, b := range boards {
 		go func() { _ = b.Loop.Run(ctx) }()
-		b.Replace(targets)
+		b.Replace(targets, false)
 	}
 	return boards
 }
@@ -234,3 +234,42 @@
 	is.True(err != nil)
 	place(t, boards[0], long) // late, but in time for its caller
 }
+
+// After an outage of the list, targets that it lacks are used for two seconds more and then no longer; without an outage
+// they are dropped at once.
+func TestListAfterOutage(t *testing.T) {
+	is := is.New(t)
+	boards := newBoards(t, 1, 2)
+	b := boards[0]
+	b.Replace(nil, true)
+	place(t, b, short).End(Good)
+	b.Loop.Call(func() {
+		for _, n := range b.nodes {
+			n.missing -= doubtTime + 1
+		}
+		b.repeat()
+	})
+	_, err := b.Place(short)
+	is.True(err != nil)
+	boards = newBoards(t, 1, 2)
+	boards[0].Replace(nil, false)
+	_, err = boards[0].Place(short)
+	is.True(err != nil)
+}
+
+// A helper that is at fault is avoided; the target that it was to help is not.
+func TestBlamedHelper(t *testing.T) {
+	is := is.New(t)
+	boards := newBoards(t, 1, 4)
+	p := place(t, boards[0], long)
+	is.True(len(p.Helpers) > 0)
+	helper := p.Helpers[0].ID
+	is.Equal(p.HelperNamed(helper), helper)
+	is.Equal(p.HelperNamed(""), "")
+	p.Blame(helper)
+	p.End(Unjudged)
+	boards[0].Loop.Call(func() {
+		is.True(!boards[0].node(helper).usable(clock.Now()))
+		is.True(boards[0].node(p.Target.ID).usable(clock.Now()))
+	})
+}
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -69,6 +69,25 @@
 	return ids
 }
 
+// HelperNamed returns the id of the helper with an id or address, or nothing.
+func (p *Placement) HelperNamed(name string) string {
+	for _, h := range p.Helpers {
+		if name != "" && (h.ID == name || h.Addr == name) {
+			return h.ID
+		}
+	}
+	return ""
+}
+
+// Blame counts a failure against a helper.
+func (p *Placement) Blame(helper string) {
+	b := p.board
+	b.Loop.Post(func() {
+		b.judge(helper, Unreachable)
+		b.pending.Dark = append(b.pending.Dark, helper)
+	})
+}
+
 // TicketID names the lease of memory at a helper, uniquely for each placement.
 func (p *Placement) TicketID(helper int) string {
 	return fmt.Sprintf("%s-%x-%d", p.board.Self, p.number, helper)
--- a/internal/board/node.go
+++ b/internal/board/node.go
@@ -26,6 +26,7 @@
 	ejected  clock.Millis // until
 	ejects   int
 	gone     bool         // no longer listed
+	missing  clock.Millis // since when the list lacks it, in doubt; zero if it does not
 	down     bool         // it did not answer when it was asked for its state
 	pace     float64      // times as long as the model says, as the target reports
 	paced    clock.Millis // when it reported that
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	watchTime   = 10 * clock.Second // of one watch call
-	startPeriod = 200 * clock.Millis(1)
-	retryPause  = 500 * clock.Millis(1)
-	gatherPause = 100 * clock.Millis(1) // after a change, so that changes in quick succession cost one watch
+	watchTime    = 10 * clock.Second // of one watch call
+	startPeriod  = 200 * clock.Millis(1)
+	retryPause   = 500 * clock.Millis(1)
+	fetchTimeout = 600 * clock.Millis(1) // of a fetch from a peer, after which the source is asked
+	gatherPause  = 100 * clock.Millis(1) // after a change, so that changes in quick succession cost one watch
 )
 
 // Feed follows one object.
@@ -30,12 +31,14 @@
 	Watching func() bool                                                  // whether this instance is to watch
 	Period   func() clock.Millis                                          // between looks at the source by an instance that does not watch
 	Accept   func(o store.Object) error                                   // takes a newer version into force
+	Taken    func()                                                       // a newer version is in force; nil for nothing
 	Wait     clock.Millis                                                 // of one watch call; zero for the default
 
 	mu      sync.Mutex
 	current atomic.Pointer[store.Object]
 	hints   chan hint
 	reached atomic.Int64  // when the source last answered, milliseconds
+	missed  atomic.Int64  // when the source last failed to answer, milliseconds
 	known   atomic.Uint64 // highest version that a peer is known to have
 	behind  atomic.Int64  // since when a version above the one in force is known, milliseconds; zero if none is
 }
@@ -59,6 +62,9 @@
 // Reached returns when the source last answered.
 func (f *Feed) Reached() clock.Millis { return clock.Millis(f.reached.Load()) }
 
+// Missed returns when the source last failed to answer; zero if it never did.
+func (f *Feed) Missed() clock.Millis { return clock.Millis(f.missed.Load()) }
+
 // Hint tells the feed that a peer has a version.
 func (f *Feed) Hint(version uint64, peer string) {
 	if version <= f.Current().Version {
@@ -165,7 +171,7 @@
 }
 
 func (f *Feed) fetch(ctx context.Context, peer string) {
-	ctx, cancel := context.WithTimeout(ctx, clock.Second.Duration())
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout.Duration())
 	defer cancel()
 	o, err := f.Fetch(ctx, peer)
 	if err != nil {
@@ -197,10 +203,16 @@
 		f.behind.Store(0)
 	}
 	slog.Info("object in force", "feed", f.Name, "version", o.Version)
+	if f.Taken != nil {
+		f.Taken()
+	}
 	return true
 }
 
 func (f *Feed) failed(call string, err error) {
+	if call != "fetch" {
+		f.missed.Store(int64(clock.Now()))
+	}
 	metrics.GetOrCreateCounter(`pier_feed_failed_total{feed="` + f.Name + `",call="` + call + `"}`).Inc()
 	slog.Debug("source not reached", "feed", f.Name, "call", call, "error", err)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -64,6 +65,9 @@
 
 // Serve answers a request.
 func (l *Relay) Serve(ctx context.Context, w http.ResponseWriter, r Request) {
+	if r.Kind == Once {
+		ctx = context.WithoutCancel(ctx) // what may have an effect is not broken off when its caller leaves
+	}
 	ctx, cancel := context.WithDeadline(ctx, r.end().Time())
 	defer cancel()
 	s := &run{Request: r, ctx: ctx, relay: l, w: w, exclude: make(map[string]bool), last: r.After}
@@ -98,7 +102,7 @@
 		if done != "" {
 			return done
 		}
-		if p.Memory == 0 {
+		if p.Memory == 0 && !s.blamed(p) {
 			s.exclude[p.Target.ID] = true
 		}
 		if !again {
@@ -110,6 +114,11 @@
 	}
 }
 
+// blamed reports whether a helper of the placement was at fault, and not the target itself.
+func (s *run) blamed(p *board.Placement) bool {
+	return slices.ContainsFunc(p.Helpers, func(h board.Target) bool { return s.exclude[h.ID] })
+}
+
 // attempt tries one target; it returns what became of the request, or whether another target may be tried.
 func (s *run) attempt(ctx context.Context, p *board.Placement) (done string, again bool) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -134,7 +143,13 @@
 	defer func() { _ = answer.Body.Close() }()
 	switch {
 	case answer.NotRun:
-		p.End(board.Failed)
+		if helper := p.HelperNamed(answer.Fault); helper != "" {
+			s.exclude[helper] = true
+			p.Blame(helper)
+			p.End(board.Unjudged)
+		} else {
+			p.End(board.Failed)
+		}
 		count("not_run")
 		return "", s.another()
 	case answer.Status >= http.StatusInternalServerError:
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -69,8 +69,8 @@
 	return text
 }
 
-// serve plays a request against a script and returns the caller's answer; broken tells that its connection was cut.
-func serve(t *testing.T, r Request, steps ...step) (got *httptest.ResponseRecorder, s *script, broken bool) {
+// newRelay returns a relay over two targets whose attempts are answered by a function.
+func newRelay(t *testing.T, send func(context.Context, Request, *board.Placement, int) (*Answer, error)) (*Relay, *retry.Budget) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -80,11 +80,10 @@
 	}
 	b.Start()
 	go func() { _ = b.Loop.Run(ctx) }()
-	b.Replace([]board.Target{{ID: "one", Service: "desk", Slots: 6}, {ID: "two", Service: "desk", Slots: 6}})
-	s = &script{steps: steps}
+	b.Replace([]board.Target{{ID: "one", Service: "desk", Slots: 6}, {ID: "two", Service: "desk", Slots: 6}}, false)
 	budget := &retry.Budget{Bounds: func() retry.Bounds { return retry.Bounds{Extra: 10, Window: clock.Second} }, Now: clock.Now}
-	l := &Relay{
-		Place: b.Place, Send: s.send, Budget: func(string) *retry.Budget { return budget },
+	return &Relay{
+		Place: b.Place, Send: send, Budget: func(string) *retry.Budget { return budget },
 		Later: func(Request, Reason) clock.Millis { return 100 },
 		Refuse: func(w http.ResponseWriter, _ Request, no Refusal) {
 			if no.Ran {
@@ -93,7 +92,14 @@
 			}
 			w.WriteHeader(http.StatusServiceUnavailable)
 		},
-	}
+	}, budget
+}
+
+// serve plays a request against a script and returns the caller's answer; broken tells that its connection was cut.
+func serve(t *testing.T, r Request, steps ...step) (got *httptest.ResponseRecorder, s *script, broken bool) {
+	t.Helper()
+	s = &script{steps: steps}
+	l, _ := newRelay(t, s.send)
 	got = httptest.NewRecorder()
 	r.ID, r.Service, r.Arrived = "r", "desk", clock.Now()
 	if r.Deadline == 0 {
@@ -150,3 +156,24 @@
 	_, _, broken = serve(t, Request{Kind: Stream, Resumable: true, Attempts: 2}, breaks(stream(1, 3)), answers(200, stream(5, 6)))
 	is.True(broken) // a piece would be missing
 }
+
+// A request that may run once goes on when its caller has left, so that its effect is not broken off; others do not.
+func TestCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	for _, kind := range []Kind{Once, Repeatable} {
+		left, cancel := context.WithCancel(context.Background())
+		seen := make(chan error, 1)
+		step := func(ctx context.Context) { cancel(); seen <- ctx.Err() }
+		l, _ := newRelay(t, func(ctx context.Context, _ Request, _ *board.Placement, _ int) (*Answer, error) {
+			step(ctx)
+			return nil, &Error{Op: "send", Kind: Broken}
+		})
+		r := Request{ID: "r", Service: "desk", Kind: kind, Attempts: 1, Arrived: clock.Now(), Deadline: clock.Now() + clock.Second}
+		r.Timeout = r.Deadline
+		func() {
+			defer func() { _ = recover() }()
+			l.Serve(left, httptest.NewRecorder(), r)
+		}()
+		is.Equal((<-seen) == nil, kind == Once)
+	}
+}
