trace, pierctl: Walk a failed request from its id to its cause by the logs

Cause: on-call engineers have logs and metrics only; the lines of one request lie in the logs of several instances, beside what those noted of its targets.

Ruled out: asking the instances, which may be gone.

Before: nothing. Lines of requests carry the version of the configuration.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -78,9 +78,9 @@
 		metrics.GetOrCreateHistogram(`pier_relay_first_seconds{service="` + r.Service + `"}`).Update(float64(s.first) / 1000)
 	}
 	metrics.GetOrCreateHistogram(`pier_relay_seconds{service="` + r.Service + `"}`).Update(float64(clock.Now()-r.Arrived) / 1000)
-	slog.Info("request", "request", r.ID, "service", r.Service, "customer", r.Customer, "outcome", outcome,
+	slog.Info("request", "request", r.ID, "service", r.Service, "customer", r.Customer, "config", r.Version, "outcome", outcome,
 		"target", s.target, "sent", s.sent, "unreachable", s.dials, "prompt", r.Prompt, "helpers", s.helpers,
-		"predicted_ms", int64(s.wanted), "first_ms", int64(s.first), "events", s.events, "aim_ms", int64(r.Aim), "pause_ms", int64(s.pause), "pause_aim_ms", int64(r.Pause),
+		"predicted_ms", int64(s.wanted), "left_ms", int64(r.Deadline-clock.Now()), "first_ms", int64(s.first), "events", s.events, "aim_ms", int64(r.Aim), "pause_ms", int64(s.pause), "pause_aim_ms", int64(r.Pause),
 		"took_ms", int64(clock.Now()-r.Arrived))
 	if s.broken {
 		panic(http.ErrAbortHandler) // closes the connection, so that the answer does not look whole
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -26,6 +26,7 @@
 	After     int    // id of the last event that the caller has
 	Service   string // that runs it
 	Customer  string
+	Version   uint64      // of the configuration by which it is served
 	Header    http.Header // end-to-end headers
 	Method    string
 	Host      string
--- /dev/null
+++ b/internal/trace/doc.go
@@ -0,0 +1,2 @@
+// Package trace finds what became of one request in the logs of many instances.
+package trace
--- /dev/null
+++ b/internal/trace/trace.go
@@ -0,0 +1,154 @@
+package trace
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+const maxLine = 1 << 20 // bytes
+
+// Line is one log line that speaks of a request, or of a target at which it was.
+type Line struct {
+	Time     time.Time
+	Instance string
+	Message  string
+	Fields   map[string]any
+}
+
+// Trace is what the logs tell of one request.
+type Trace struct {
+	Request string
+	Lines   []Line // in the order of time
+	Around  []Line // what instances noted of its targets within a few seconds
+}
+
+// around is how far from the request's own lines other lines matter.
+const around = 3 * time.Second
+
+// Read collects the lines of a request from logs of several instances; lines that are not JSON are passed over.
+func Read(request string, logs ...io.Reader) (Trace, error) {
+	t := Trace{Request: request}
+	var others []Line
+	for _, log := range logs {
+		lines := bufio.NewScanner(log)
+		lines.Buffer(make([]byte, 4096), maxLine)
+		for lines.Scan() {
+			l, ok := parse(lines.Text())
+			switch {
+			case !ok:
+			case l.Fields["request"] == request:
+				t.Lines = append(t.Lines, l)
+			case l.Fields["target"] != nil && l.Fields["request"] == nil:
+				others = append(others, l)
+			}
+		}
+		if err := lines.Err(); err != nil {
+			return t, fmt.Errorf("read log: %w", err)
+		}
+	}
+	byTime := func(a, b Line) int { return a.Time.Compare(b.Time) }
+	slices.SortStableFunc(t.Lines, byTime)
+	slices.SortStableFunc(others, byTime)
+	for _, o := range others {
+		if t.concerns(o) {
+			t.Around = append(t.Around, o)
+		}
+	}
+	return t, nil
+}
+
+// concerns reports whether a line speaks of a target of the request, near in time.
+func (t Trace) concerns(o Line) bool {
+	for _, l := range t.Lines {
+		if l.Fields["target"] == o.Fields["target"] && o.Time.Sub(l.Time).Abs() < around {
+			return true
+		}
+	}
+	return false
+}
+
+func parse(text string) (Line, bool) {
+	at := strings.IndexByte(text, '{')
+	if at < 0 {
+		return Line{}, false
+	}
+	var fields map[string]any
+	if err := json.Unmarshal([]byte(text[at:]), &fields); err != nil {
+		return Line{}, false
+	}
+	when, _ := fields["time"].(string)
+	l := Line{Fields: fields}
+	l.Time, _ = time.Parse(time.RFC3339Nano, when)
+	l.Instance, _ = fields["instance"].(string)
+	l.Message, _ = fields["msg"].(string)
+	for _, name := range []string{"time", "level", "msg", "instance"} {
+		delete(fields, name)
+	}
+	return l, true
+}
+
+// causes explains the outcomes of requests.
+var causes = map[string]string{
+	"answered":      "a target answered, and all of it was passed on",
+	"error":         "the target itself answered with a failure, which was passed on",
+	"caller_gone":   "the caller closed its connection; see left_ms for whether its deadline had passed",
+	"costly":        "refused: the engines were loaded and the prompt would have made others late; it has not run",
+	"full":          "refused: no engine had the memory; it has not run",
+	"too_large":     "refused: all engines together have not got the memory; it has not run",
+	"no_target":     "refused: no target of the service was listed; look for lines of the feed servers",
+	"not_ready":     "refused: the instance had no configuration yet",
+	"no_route":      "the configuration in force had no such route",
+	"no_key":        "the configuration in force had no such key",
+	"refused":       "each target that was tried stated that it had not run it",
+	"expired":       "the time was up before any target was tried",
+	"timed_out":     "the time was up while a target worked on it; it may have run",
+	"target_failed": "a target may have run it and gave no whole answer; see the failed attempts",
+}
+
+// Cause explains how the request ended, or says that the logs do not tell.
+func (t Trace) Cause() string {
+	for _, l := range slices.Backward(t.Lines) {
+		for _, field := range []string{"outcome", "reason"} {
+			if outcome, ok := l.Fields[field].(string); ok && causes[outcome] != "" {
+				return outcome + ": " + causes[outcome]
+			}
+		}
+	}
+	if len(t.Lines) == 0 {
+		return "not in these logs: it reached none of these instances, or its lines were left out"
+	}
+	return "no end in these logs: the instance ended first, or the request is still in progress"
+}
+
+// Print writes the lines and the cause for a reader.
+func (t Trace) Print(out io.Writer) {
+	for _, l := range t.Lines {
+		_, _ = fmt.Fprintln(out, l)
+	}
+	if len(t.Around) > 0 {
+		_, _ = fmt.Fprintln(out, "its targets, meanwhile:")
+	}
+	for _, l := range t.Around {
+		_, _ = fmt.Fprintln(out, l)
+	}
+	_, _ = fmt.Fprintln(out, "cause:", t.Cause())
+}
+
+// String formats the line with its fields in the order of their names.
+func (l Line) String() string {
+	text := l.Time.Format("15:04:05.000") + " " + l.Instance + " " + l.Message
+	names := make([]string, 0, len(l.Fields))
+	for name := range l.Fields {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		text += fmt.Sprintf(" %s=%v", name, l.Fields[name])
+	}
+	return text
+}
--- /dev/null
+++ b/internal/trace/trace_test.go
@@ -0,0 +1,36 @@
+package trace
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const first = `started
+{"time":"2026-12-04T06:00:01.5Z","level":"INFO","msg":"request","instance":"entry-1","request":"b","outcome":"answered","target":"x"}
+{"time":"2026-12-04T06:00:02.5Z","level":"INFO","msg":"request","instance":"entry-1","request":"a","outcome":"target_failed","target":"x"}
+{"time":"2026-12-04T06:00:02.1Z","level":"INFO","msg":"attempt failed","instance":"entry-1","request":"a","target":"x","error":"reset"}
+`
+
+const second = `{"time":"2026-12-04T06:00:02.3Z","level":"INFO","msg":"target down","instance":"entry-2","target":"x"}
+{"time":"2026-12-04T06:00:02.3Z","level":"INFO","msg":"target down","instance":"entry-2","target":"y"}
+{"time":"2026-12-04T06:01:02.3Z","level":"INFO","msg":"target down","instance":"entry-2","target":"x"}
+`
+
+// The lines of a request and of its targets are found in several logs, in the order of time, with the cause.
+func TestRead(t *testing.T) {
+	is := is.New(t)
+	found, err := Read("a", strings.NewReader(first), strings.NewReader(second))
+	is.NoErr(err)
+	is.Equal(len(found.Lines), 2)
+	is.Equal(found.Lines[0].Message, "attempt failed")
+	is.Equal(len(found.Around), 1)
+	is.True(strings.HasPrefix(found.Cause(), "target_failed: "))
+	var out strings.Builder
+	found.Print(&out)
+	is.True(strings.Contains(out.String(), "entry-2 target down target=x"))
+	none, err := Read("c", strings.NewReader(first))
+	is.NoErr(err)
+	is.True(strings.HasPrefix(none.Cause(), "not in these logs"))
+}
