--- a/internal/entry/register.go
+++ b/internal/entry/register.go
@@ -73,7 +73,7 @@
 			_ = e.store.Delete(ctx, o.Name, o.Version)
 		}
 	}
-	e.group.Join(fresh)
+	e.group.Join(ctx, fresh)
 	return true
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -113,11 +113,15 @@
 	}
 }
 
-// Join adds instances learned from the object API as if a peer had told of them.
-func (g *Group) Join(members []Member) {
+// Join adds instances learned from the object API as if a peer had told of them, and probes each at once, since the
+// object API also lists instances that are gone.
+func (g *Group) Join(ctx context.Context, members []Member) {
 	g.Loop.Post(func() {
 		for _, m := range members {
 			g.learn(m)
+			if k := g.members[m.Name]; k != nil && k.live() {
+				g.probe(ctx, m.Name)
+			}
 		}
 	})
 }
