--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
@@ -18,10 +19,12 @@
 )
 
 const (
-	maxAnswer   = 16 << 20             // bytes of an answer that is not a stream
-	dialRetries = 3                    // targets that may prove unreachable without counting as attempts
-	holdTries   = 3                    // placements whose memory is asked for
-	minLeft     = 20 * clock.Millis(1) // a request with less time left is not sent
+	maxAnswer    = 16 << 20               // bytes of an answer that is not a stream
+	dialRetries  = 3                      // targets that may prove unreachable without counting as attempts
+	silentTime   = 1200 * clock.Millis(1) // without an event of a target that was found to be down
+	silentPeriod = 200 * clock.Millis(1)
+	holdTries    = 3                    // placements whose memory is asked for
+	minLeft      = 20 * clock.Millis(1) // a request with less time left is not sent
 )
 
 // Relay passes requests on.
@@ -46,20 +49,21 @@
 	relay   *Relay
 	w       http.ResponseWriter
 	exclude map[string]bool
-	sent    int // attempts that reached a target
+	sent    int // attempts that reached a target, or may have
 	dials   int // attempts that reached none
 	holds   int // attempts for which the memory was not had
 	ran     bool
 	begun   bool        // the answer to the caller has begun
 	broken  bool        // the connection to the caller is to be broken off
 	lost    atomic.Bool // the target of this attempt was found to be down
+	paid    atomic.Bool // the next attempt is taken from the budget already
 	last    int         // id of the last event that was passed on
 	events  int
 	target  string
 	wanted  clock.Millis // predicted time to the first event
 	first   clock.Millis // time to the first event
 	helpers []string     // targets that read a part
-	heard   clock.Millis // when the last event came
+	heard   atomic.Int64 // when the last event came, or the attempt began, milliseconds
 	pause   clock.Millis // longest between events
 }
 
@@ -132,7 +136,10 @@
 	defer release()
 	ended := make(chan struct{})
 	defer close(ended)
-	go s.watch(p, ended, cancel)
+	s.heard.Store(int64(clock.Now()))
+	if s.repeatable() && s.sent+1 < max(s.Attempts, 1) {
+		go s.watch(p.Lost(), ended, cancel)
+	}
 	answer, err := s.relay.Send(ctx, s.Request, p, s.last)
 	if err == nil || KindOf(err) != Untouched {
 		s.sent++
@@ -162,14 +169,27 @@
 	}
 }
 
-// watch cuts an attempt off whose target was found to be down, if the request may go on elsewhere and hears nothing.
-func (s *run) watch(p *board.Placement, ended <-chan struct{}, cancel context.CancelFunc) {
+// watch cuts an attempt off whose target was found to be down, once nothing has been heard of it for a while and the
+// budget has another attempt. A target that still sends is left to finish.
+func (s *run) watch(lost, ended <-chan struct{}, cancel context.CancelFunc) {
 	select {
 	case <-ended:
-	case <-p.Lost():
-		if s.repeatable() {
+		return
+	case <-lost:
+	}
+	ticker := time.NewTicker(silentPeriod.Duration())
+	defer ticker.Stop()
+	for {
+		if clock.Now()-clock.Millis(s.heard.Load()) > silentTime && s.relay.Budget(s.Service).Repeat() {
+			s.paid.Store(true)
 			s.lost.Store(true)
 			cancel()
+			return
+		}
+		select {
+		case <-ended:
+			return
+		case <-ticker.C:
 		}
 	}
 }
@@ -219,6 +239,9 @@
 
 // another reports whether the request may be sent to one more target.
 func (s *run) another() bool {
+	if s.paid.Swap(false) {
+		return true
+	}
 	if s.sent >= max(s.Attempts, 1) {
 		return false
 	}
@@ -298,10 +321,9 @@
 		}
 		s.events++
 		now := clock.Now()
-		if s.heard > 0 {
-			s.pause = max(s.pause, now-s.heard)
+		if before := clock.Millis(s.heard.Swap(int64(now))); s.events > 1 {
+			s.pause = max(s.pause, now-before)
 		}
-		s.heard = now
 		if _, err := s.w.Write(e.data); err != nil {
 			p.End(board.Unjudged)
 			return "caller_gone", false
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rotisserie/eris"
@@ -177,3 +178,27 @@
 		is.Equal((<-seen) == nil, kind == Once)
 	}
 }
+
+// A target that was found to be down is left to finish while it sends, and given up once it is silent.
+func TestDownTarget(t *testing.T) {
+	is := is.New(t)
+	l, _ := newRelay(t, nil)
+	s := &run{Request: Request{Kind: Stream, Resumable: true, Attempts: 2, Service: "desk"}, relay: l}
+	lost, ended := make(chan struct{}), make(chan struct{})
+	close(lost)
+	cut := make(chan struct{})
+	s.heard.Store(int64(clock.Now()))
+	go s.watch(lost, ended, func() { close(cut) })
+	for range 8 {
+		time.Sleep(2 * silentPeriod.Duration())
+		s.heard.Store(int64(clock.Now()))
+	}
+	select {
+	case <-cut:
+		t.Fatal("cut while it sent")
+	default:
+	}
+	<-cut
+	is.True(clock.Now()-clock.Millis(s.heard.Load()) >= silentTime)
+	is.True(s.another()) // taken from the budget already
+}
