--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	flushPeriod  = 25 * clock.Millis(1)   // in which ends of works are gathered before they are told
+	flushPeriod  = 50 * clock.Millis(1)   // in which ends of works are gathered before they are told
 	repeatPeriod = clock.Second           // between repeats of all own work
 	silentTime   = 3500 * clock.Millis(1) // after which the work of an instance that says nothing is forgotten
 	doubtTime    = 2 * clock.Second       // within which live targets are listed again after an outage of the list
@@ -48,14 +48,13 @@
 	Placed  []Work   `cbor:"2,keyasint,omitempty"`
 	Begun   []uint64 `cbor:"3,keyasint,omitempty"`
 	Ended   []uint64 `cbor:"4,keyasint,omitempty"`
-	Good    []string `cbor:"5,keyasint,omitempty"` // targets that answered
 	Failed  []string `cbor:"6,keyasint,omitempty"`
 	Dark    []string `cbor:"7,keyasint,omitempty"` // targets that could not be reached
 	Reports []Report `cbor:"8,keyasint,omitempty"`
 }
 
 func (p packet) empty() bool {
-	return len(p.Placed)+len(p.Begun)+len(p.Ended)+len(p.Good)+len(p.Failed)+len(p.Dark)+len(p.Reports) == 0
+	return len(p.Placed)+len(p.Begun)+len(p.Ended)+len(p.Failed)+len(p.Dark)+len(p.Reports) == 0
 }
 
 // Start sets up the state.
@@ -312,8 +311,6 @@
 		}
 		b.judge(id, o)
 		switch o {
-		case Good:
-			b.pending.Good = append(b.pending.Good, id)
 		case Failed:
 			b.pending.Failed = append(b.pending.Failed, id)
 		case Unreachable:
@@ -437,7 +434,7 @@
 	for _, told := range []struct {
 		ids     []string
 		outcome Outcome
-	}{{p.Good, Good}, {p.Failed, Failed}, {p.Dark, Unreachable}} {
+	}{{p.Failed, Failed}, {p.Dark, Unreachable}} {
 		for _, id := range told.ids {
 			b.judge(id, told.outcome)
 		}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -62,6 +62,7 @@
 type answer struct {
 	Body   []byte `cbor:"1,keyasint"`
 	Failed string `cbor:"2,keyasint,omitempty"`
+	Packed bool   `cbor:"3,keyasint,omitempty"` // the body is compressed
 }
 
 // Handle registers a handler; it is called before Run.
@@ -171,6 +172,9 @@
 		return &Error{Op: op, Kind: Failed, Err: eris.New(got.Failed)}
 	}
 	metrics.GetOrCreateCounter(`pier_call_bytes_total{kind="` + kind + `"}`).Add(len(message) + len(got.Body))
+	if got, err = got.unpack(); err != nil {
+		return &Error{Op: op, Kind: NoAnswer, Err: err}
+	}
 	if err := cbor.Unmarshal(got.Body, resp); err != nil {
 		return &Error{Op: op, Kind: NoAnswer, Err: err}
 	}
@@ -312,6 +316,10 @@
 	} else if got.Body, err = h(withStream(ctx, stream), from, e.Body); err != nil {
 		got.Failed = err.Error()
 	}
+	if got, err = got.pack(); err != nil {
+		stream.CancelWrite(streamRejected)
+		return
+	}
 	out, err := cbor.Marshal(got)
 	if err != nil {
 		stream.CancelWrite(streamRejected)
