--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -187,6 +187,7 @@
 	is.True(p.Memory > 0)
 	is.True(p.Memory*(1+len(p.Helpers)) >= 900_000-len(p.Helpers))
 	is.True(p.Memory <= sheet.Memory)
+	is.True(1+len(p.Helpers) <= 12) // a quarter of the engines stays free for short questions
 	settle(boards)
 	p.Begun()
 	boards[0].Loop.Call(boards[0].flush)
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -137,7 +137,7 @@
 	whole := slices.ContainsFunc(nodes, func(n *node) bool { return n.fits(need.Prompt + need.Output) })
 	most := min(maxParts, max(1, int(partShare*float64(len(nodes)))))
 	if !whole {
-		most = min(maxParts, len(nodes))
+		most = min(maxParts, max(most, need.fewestParts(nodes)), len(nodes))
 	}
 	for parts := 1; parts <= most; parts++ {
 		if parts > 1 && whole && nodes[0].engine.ReadTime(need.Prompt) < spreadAbove*aim {
@@ -151,6 +151,12 @@
 	return best
 }
 
+// fewestParts returns into how many parts a prompt must be split for engines without other requests to hold them.
+func (n Need) fewestParts(nodes []*node) int {
+	limit := int(memoryShare * float64(nodes[0].engine.Memory))
+	return (n.Prompt+n.Output)/max(limit-n.Output, 1) + 1
+}
+
 // role is what an engine could do for a prompt, and what that costs.
 type role struct {
 	*node
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -17,6 +17,7 @@
 	watchTime    = 10 * clock.Second // of one watch call
 	startPeriod  = 200 * clock.Millis(1)
 	retryPause   = 500 * clock.Millis(1)
+	maxBegins    = 4                     // tries at once to get a first version
 	fetchTimeout = 600 * clock.Millis(1) // of a fetch from a peer, after which the source is asked
 	gatherPause  = 100 * clock.Millis(1) // after a change, so that changes in quick succession cost one watch
 )
@@ -34,13 +35,14 @@
 	Taken    func()                                                       // a newer version is in force; nil for nothing
 	Wait     clock.Millis                                                 // of one watch call; zero for the default
 
-	mu      sync.Mutex
-	current atomic.Pointer[store.Object]
-	hints   chan hint
-	reached atomic.Int64  // when the source last answered, milliseconds
-	missed  atomic.Int64  // when the source last failed to answer, milliseconds
-	known   atomic.Uint64 // highest version that a peer is known to have
-	behind  atomic.Int64  // since when a version above the one in force is known, milliseconds; zero if none is
+	mu        sync.Mutex
+	current   atomic.Pointer[store.Object]
+	hints     chan hint
+	reached   atomic.Int64  // when the source last answered, milliseconds
+	beginning atomic.Int32  // tries to get a first version
+	missed    atomic.Int64  // when the source last failed to answer, milliseconds
+	known     atomic.Uint64 // highest version that a peer is known to have
+	behind    atomic.Int64  // since when a version above the one in force is known, milliseconds; zero if none is
 }
 
 type hint struct {
@@ -95,7 +97,7 @@
 		wait := f.Period()
 		if f.Current().Version == 0 {
 			wait = startPeriod
-			f.begin(ctx)
+			f.tryBegin(ctx)
 		}
 		select {
 		case <-ctx.Done():
@@ -108,6 +110,19 @@
 	return nil
 }
 
+// tryBegin begins without waiting for the tries before, since a connection that was lost is silent for long; few are
+// in progress at once.
+func (f *Feed) tryBegin(ctx context.Context) {
+	if f.beginning.Add(1) > maxBegins {
+		f.beginning.Add(-1)
+		return
+	}
+	go func() {
+		defer f.beginning.Add(-1)
+		f.begin(ctx)
+	}()
+}
+
 // begin asks the source and some peers, since a starting instance cannot tell an old version from the newest.
 func (f *Feed) begin(ctx context.Context) {
 	var group sync.WaitGroup
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -50,3 +50,26 @@
 	is.True(f.Current().Version > 1)
 	is.True(calls.Load() <= 11)
 }
+
+// Pattern: an instance starts while its first connections are silent. It does not wait for them to time out.
+func TestStartBesideSilentConnection(t *testing.T) {
+	is := is.New(t)
+	var reads atomic.Int64
+	f := &Feed{
+		Name: "test", Peers: func() []string { return nil }, Watching: func() bool { return false },
+		Period: func() clock.Millis { return clock.Minute }, Accept: func(store.Object) error { return nil },
+		Read: func(ctx context.Context) (store.Object, error) {
+			if reads.Add(1) == 1 {
+				<-ctx.Done()
+				return store.Object{}, ctx.Err()
+			}
+			return store.Object{Version: 1, Value: []byte("1")}, nil
+		},
+	}
+	f.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = f.Run(ctx) }()
+	time.Sleep(3 * startPeriod.Duration())
+	is.Equal(f.Current().Version, uint64(1))
+}
