--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"log/slog"
 	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/fxamacker/cbor/v2"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/loop"
@@ -53,10 +51,6 @@
 	Reports []Report `cbor:"8,keyasint,omitempty"`
 }
 
-func (p packet) empty() bool {
-	return len(p.Placed)+len(p.Begun)+len(p.Ended)+len(p.Failed)+len(p.Dark)+len(p.Reports) == 0
-}
-
 // Start sets up the state.
 func (b *Board) Start() {
 	b.nodes = make(map[string]*node)
@@ -337,120 +331,3 @@
 		metrics.GetOrCreateCounter(`pier_board_target_failed_total`).Inc()
 	}
 }
-
-// Greet has all own work told soon, as other instances have come; it runs on the control loop.
-func (b *Board) Greet() { b.greet = true }
-
-// tick tells the others what has changed since the last time, and those that have come of all own work.
-func (b *Board) tick() {
-	b.flush()
-	if b.greet {
-		b.greet = false
-		b.repeat()
-	}
-}
-
-func (b *Board) flush() {
-	if b.pending.empty() {
-		return
-	}
-	b.send(b.pending)
-	b.pending = packet{}
-}
-
-func (b *Board) send(p packet) {
-	p.From = b.Self
-	data, err := cbor.Marshal(p)
-	if err != nil {
-		slog.Error("placements not encoded", "error", err)
-		return
-	}
-	b.Tell(data)
-}
-
-// repeat tells the others of all own work, and forgets that of instances that are silent.
-func (b *Board) repeat() {
-	now := clock.Now()
-	var p packet
-	for number, w := range b.own {
-		told := *w
-		told.Age = now - b.placed[number]
-		p.Placed = append(p.Placed, told)
-		if len(p.Placed) == packetWorks {
-			b.send(p)
-			p = packet{}
-		}
-	}
-	if !p.empty() {
-		b.send(p)
-	}
-	for id, n := range b.nodes {
-		if n.missing > 0 && now-n.missing > doubtTime {
-			slog.Info("target not listed again", "target", id)
-			n.gone = true
-		}
-		kept := n.jobs[:0]
-		for _, j := range n.jobs {
-			if j.owner == b.Self || now-j.heard < silentTime {
-				kept = append(kept, j)
-			}
-		}
-		n.jobs = kept
-		if n.gone && len(n.jobs) == 0 {
-			delete(b.nodes, id)
-		}
-	}
-}
-
-// Receive handles a datagram of another instance.
-func (b *Board) Receive(data []byte) {
-	var p packet
-	if err := cbor.Unmarshal(data, &p); err != nil || p.From == b.Self {
-		return
-	}
-	b.Loop.Post(func() { b.receive(p) })
-}
-
-func (b *Board) receive(p packet) {
-	now := clock.Now()
-	for _, w := range p.Placed {
-		k := key{p.From, w.Number}
-		switch {
-		case !b.refresh(now, k):
-			b.add(now, k, w)
-		case w.Begun:
-			b.begun(k) // the datagram that said so may be lost
-		}
-	}
-	for _, number := range p.Begun {
-		b.begun(key{p.From, number})
-	}
-	for _, number := range p.Ended {
-		b.ended(key{p.From, number})
-	}
-	for _, r := range p.Reports {
-		b.believe(r)
-	}
-	for _, told := range []struct {
-		ids     []string
-		outcome Outcome
-	}{{p.Failed, Failed}, {p.Dark, Unreachable}} {
-		for _, id := range told.ids {
-			b.judge(id, told.outcome)
-		}
-	}
-}
-
-// refresh notes that a work is still in progress; it reports whether the work is known.
-func (b *Board) refresh(now clock.Millis, k key) bool {
-	known := false
-	for _, n := range b.nodes {
-		for _, j := range n.jobs {
-			if j.key == k {
-				j.heard = now
-				known = true
-			}
-		}
-	}
-	return known
-}
