--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,6 +1,7 @@
 package clock
 
 import (
+	"context"
 	"fmt"
 	"time"
 )
@@ -47,3 +48,15 @@
 	*m = Of(d)
 	return nil
 }
+
+// Sleep waits for a span, or until the context ends and returns its error.
+func Sleep(ctx context.Context, d Millis) error {
+	timer := time.NewTimer(d.Duration())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -103,7 +103,7 @@
 	e.group.Leave()
 	e.unregister(ctx)
 	// Callers keep an address for a while after it was given.
-	wait(ctx, front.Keep+drainMargin)
+	_ = clock.Sleep(ctx, front.Keep+drainMargin)
 	e.closing.Store(true)
 	if err := e.front.Wait(ctx); err != nil {
 		slog.Warn("drain ended with requests in progress", "active", e.front.Active())
@@ -112,7 +112,7 @@
 		slog.Warn("drain ended with operations in progress")
 	}
 	for e.sweeper.Pending() > 0 && ctx.Err() == nil {
-		wait(ctx, registerPause)
+		_ = clock.Sleep(ctx, registerPause)
 	}
 	slog.Info("drain complete")
 	close(e.stop)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/corianderpier/corianderpier/internal/peer"
 	"github.com/corianderpier/corianderpier/internal/roster"
 	"github.com/corianderpier/corianderpier/internal/route"
+	"github.com/corianderpier/corianderpier/internal/serve"
 	"github.com/corianderpier/corianderpier/internal/store"
 	"github.com/corianderpier/corianderpier/internal/sweep"
 	"github.com/corianderpier/corianderpier/internal/target"
@@ -88,15 +89,15 @@
 
 	var g run.Group
 	for _, slice := range e.slices() {
-		e.add(&g, slice)
+		serve.Add(&g, slice)
 	}
-	e.add(&g, func(ctx context.Context) error { return e.register(ctx, admin.Addr().String()) })
+	serve.Add(&g, func(ctx context.Context) error { return e.register(ctx, admin.Addr().String()) })
 	if callers, err = e.secure(&g, callers); err != nil {
 		return err
 	}
 	e.serve(&g, callers, e.front.Handler())
 	e.serve(&g, admin, e.adminHandler())
-	e.add(&g, func(own context.Context) error {
+	serve.Add(&g, func(own context.Context) error {
 		select {
 		case <-own.Done():
 		case <-ctx.Done():
@@ -203,11 +204,6 @@
 	return clock.Now()-last > isolatedAfter && clock.Now()-e.started > isolatedAfter
 }
 
-func (e *Entry) add(g *run.Group, f func(context.Context) error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
-}
-
 // secure puts TLS on the callers' listener if there is a certificate.
 func (e *Entry) secure(g *run.Group, callers net.Listener) (net.Listener, error) {
 	if e.Settings.Cert == "" {
@@ -217,26 +213,13 @@
 	if err := source.Load(); err != nil {
 		return nil, err
 	}
-	e.add(g, source.Run)
+	serve.Add(g, source.Run)
 	return tls.NewListener(callers, source.Config()), nil
 }
 
 func (e *Entry) serve(g *run.Group, l net.Listener, h http.Handler) {
-	server := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
-		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
-	}
-	g.Add(func() error {
-		err := server.Serve(l)
-		if eris.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return err
-	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), clock.Second.Duration())
-		defer cancel()
-		_ = server.Shutdown(ctx)
-	})
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader}
+	serve.HTTP(g, l, server, clock.Second)
 }
 
 // registration is what the object API holds of an instance.
--- a/internal/entry/register.go
+++ b/internal/entry/register.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"time"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/member"
@@ -25,13 +24,13 @@
 	name := Prefix + e.self.Name
 	value := encodeRegistration(registration{Member: e.self, Admin: admin})
 	for ctx.Err() == nil && !e.put(ctx, name, value) {
-		wait(ctx, registerPause)
+		_ = clock.Sleep(ctx, registerPause)
 	}
 	for ctx.Err() == nil && !e.join(ctx) {
-		wait(ctx, registerPause)
+		_ = clock.Sleep(ctx, registerPause)
 	}
 	for ctx.Err() == nil {
-		wait(ctx, listPeriod)
+		_ = clock.Sleep(ctx, listPeriod)
 		if e.group.View().Home(e.self.Name, "registrations", listers) {
 			e.join(ctx)
 		}
@@ -85,10 +84,3 @@
 		_ = e.store.Delete(ctx, name, o.Version)
 	}
 }
-
-func wait(ctx context.Context, d clock.Millis) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d.Duration()):
-	}
-}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -137,7 +137,7 @@
 func (f *Feed) watch(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !f.Watching() || f.Current().Version == 0 {
-			pause(ctx, retryPause)
+			_ = clock.Sleep(ctx, retryPause)
 			continue
 		}
 		wait := f.Wait
@@ -149,12 +149,12 @@
 		cancel()
 		if err != nil {
 			f.failed("watch", err)
-			pause(ctx, retryPause)
+			_ = clock.Sleep(ctx, retryPause)
 			continue
 		}
 		f.reached.Store(int64(clock.Now()))
 		if f.take(o) {
-			pause(ctx, gatherPause)
+			_ = clock.Sleep(ctx, gatherPause)
 		}
 	}
 }
@@ -231,10 +231,3 @@
 	metrics.GetOrCreateCounter(`pier_feed_failed_total{feed="` + f.Name + `",call="` + call + `"}`).Inc()
 	slog.Debug("source not reached", "feed", f.Name, "call", call, "error", err)
 }
-
-func pause(ctx context.Context, d clock.Millis) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d.Duration()):
-	}
-}
--- a/internal/fence/fence.go
+++ b/internal/fence/fence.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -69,7 +68,7 @@
 		if version, settled := s.readBack(ctx, c); settled {
 			return version, nil
 		}
-		if Sleep(ctx, wait) != nil {
+		if clock.Sleep(ctx, wait) != nil {
 			return 0, &Error{Op: "apply", Kind: Unavailable, Err: ctx.Err()}
 		}
 		wait = min(2*wait, maxRetryPause)
@@ -88,15 +87,3 @@
 	}
 	return 0, true
 }
-
-// Sleep waits for a time, or until the context ends.
-func Sleep(ctx context.Context, d clock.Millis) error {
-	timer := time.NewTimer(d.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/flow/prompt.go
+++ b/internal/flow/prompt.go
@@ -12,7 +12,6 @@
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/config"
 	"github.com/corianderpier/corianderpier/internal/engine"
-	"github.com/corianderpier/corianderpier/internal/fence"
 	"github.com/corianderpier/corianderpier/internal/member"
 	"github.com/corianderpier/corianderpier/internal/peer"
 	"github.com/corianderpier/corianderpier/internal/retry"
@@ -202,7 +201,7 @@
 		}
 		p.Release(home, ask)
 		countRetry("reservation")
-		if fence.Sleep(ctx, placePause) != nil {
+		if clock.Sleep(ctx, placePause) != nil {
 			return place{}, &route.Error{Op: "reserve", Kind: wire.ReasonDeadline}
 		}
 	}
@@ -242,7 +241,7 @@
 				p.Release(home, *a)
 			}
 		}
-		_ = fence.Sleep(ctx, placePause)
+		_ = clock.Sleep(ctx, placePause)
 	}
 	return member.Member{}, route.Grant{}, &route.Error{Op: "reserve", Kind: wire.ReasonDeadline}
 }
--- a/internal/oplog/caller.go
+++ b/internal/oplog/caller.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
-	"github.com/corianderpier/corianderpier/internal/fence"
 	"github.com/corianderpier/corianderpier/internal/member"
 	"github.com/corianderpier/corianderpier/internal/peer"
 )
@@ -47,7 +46,7 @@
 		if reply, ok := c.try(ctx, s); ok {
 			return reply
 		}
-		_ = fence.Sleep(ctx, callerPause)
+		_ = clock.Sleep(ctx, callerPause)
 	}
 	return s.final(Reply{Verdict: VerdictNotRun, Term: 0, Reason: "log_unavailable"})
 }
--- a/internal/oplog/log.go
+++ b/internal/oplog/log.go
@@ -10,7 +10,6 @@
 
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/config"
-	"github.com/corianderpier/corianderpier/internal/fence"
 	"github.com/corianderpier/corianderpier/internal/loop"
 	"github.com/corianderpier/corianderpier/internal/store"
 )
@@ -104,7 +103,7 @@
 // Wait returns once no operation and no settlement is in progress.
 func (l *Log) Wait(ctx context.Context) error {
 	for l.active.Load() > 0 {
-		if err := fence.Sleep(ctx, forwardPause/4); err != nil {
+		if err := clock.Sleep(ctx, forwardPause/4); err != nil {
 			return err
 		}
 	}
@@ -140,7 +139,7 @@
 		if err := l.Forward(ctx, s); err == nil {
 			return
 		}
-		if fence.Sleep(ctx, forwardPause) != nil {
+		if clock.Sleep(ctx, forwardPause) != nil {
 			counter("settlement_lost").Inc()
 			return
 		}
--- a/internal/oplog/plan.go
+++ b/internal/oplog/plan.go
@@ -118,7 +118,7 @@
 		if err == nil || store.Is(err, store.Conflict) {
 			return nil
 		}
-		if fence.Sleep(ctx, segmentPause) != nil {
+		if clock.Sleep(ctx, segmentPause) != nil {
 			return &Error{Op: "write segment", Kind: Unavailable, Err: err}
 		}
 	}
--- a/internal/oplog/takeover.go
+++ b/internal/oplog/takeover.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/corianderpier/corianderpier/internal/fence"
+	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/store"
 )
 
@@ -143,7 +143,7 @@
 		}
 		if !won {
 			counter("takeover_lost").Inc()
-			if fence.Sleep(ctx, takeoverPause) != nil {
+			if clock.Sleep(ctx, takeoverPause) != nil {
 				return takeover{}, &Error{Op: "take over", Kind: Unavailable, Err: ctx.Err()}
 			}
 			continue
--- /dev/null
+++ b/internal/serve/serve.go
@@ -0,0 +1,37 @@
+package serve
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+)
+
+// Add adds a function that runs until its context ends.
+func Add(g *run.Group, f func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
+}
+
+// HTTP adds a server; at the end, connections that do not become idle within the limit are cut.
+func HTTP(g *run.Group, l net.Listener, server *http.Server, limit clock.Millis) {
+	server.ErrorLog = slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug)
+	g.Add(func() error {
+		err := server.Serve(l)
+		if eris.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), limit.Duration())
+		defer cancel()
+		if err := server.Shutdown(ctx); err != nil {
+			slog.Info("connections cut", "error", err.Error())
+		}
+	})
+}
