relay: Pass a refusal on as one only where the target proves it

Cause: found on reading the change: a target's own 408, 421, 429 or 503 without its statement that it has not run the request was passed on, and these statuses tell the caller that it has not run.

Ruled out: passing the status with the target's seal: the promise would still be the system's.

Before: TestUnprovenRefusal fails.

Conclusion: such an answer counts as a failed attempt that may have run. The line of a request moves into a function of its own.

--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -13,7 +13,7 @@
 const (
 	lateShare   = 0.75                   // of a request's value that is lost when it is late
 	lostShare   = 0.25                   // that is lost in addition when the caller gives up
-	slopeShare  = 0.1                    // of the value for each aim that the first event takes, so that of two in time the sooner is chosen
+	slopeShare  = 0.1                    // of the value when the first event takes all of its aim, so that of two in time the sooner is chosen
 	soonEdge    = 0.75                   // of an aim: predictions above it begin to count as late
 	lateEdge    = 1.15                   // of an aim: predictions above it count as late for certain
 	partShare   = 0.75                   // of the engines: the most that read one prompt, so that some stay free for short ones
@@ -28,10 +28,10 @@
 	fullBacklog = 1500 * clock.Millis(1) // at which it costs the most
 	timePrice   = 20.0                   // value of a millisecond of a loaded engine, in tokens
 	zoneCost    = 0.3                    // slots that a plain target in another zone seems busier
-	riskCost    = 4                      // slots' shares that a plain target seems busier if all of its requests fail
-	tieCost     = 0.01                   // of a slots' share, so that equal targets are taken in turn
+	riskCost    = 4                      // times a plain target's slots that it seems busier if all of its requests fail
+	tieCost     = 0.01                   // of a target's slots, at random, so that equal targets are taken in turn
 	slowTimes   = 2.5                    // as long as the fastest target's answers: a plain target that takes longer is slow
-	slowCost    = 0.2                    // slots' shares that a slow target seems busier for each time as long
+	slowCost    = 0.2                    // of a target's slots that it seems busier for each time as long as the fastest
 	patience    = 4                      // aims after which callers give up
 	minPatience = 2 * clock.Second
 )
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -49,6 +49,8 @@
 		}
 		count("not_run")
 		return "", s.another()
+	case promises(answer.Status):
+		return s.failed(ctx, p, &Error{Op: "send", Kind: Unproven})
 	case answer.Status >= http.StatusInternalServerError:
 		s.ran = true
 		return s.errorAnswer(p, answer)
@@ -59,6 +61,17 @@
 	}
 }
 
+// promises reports whether a status tells the caller that its request has not run, which is passed on only where the
+// target states it.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
 // watch cuts an attempt off whose target was found to be down, once nothing has been heard of it for a while and the
 // budget has another attempt. A target that still sends is left to finish.
 func (s *run) watch(lost, ended <-chan struct{}, cancel context.CancelFunc) {
--- a/internal/relay/error.go
+++ b/internal/relay/error.go
@@ -10,6 +10,7 @@
 	Untouched ErrorKind = "untouched" // nothing was sent
 	Broken    ErrorKind = "broken"    // the answer ended early or could not be read
 	Foreign   ErrorKind = "foreign"   // the answer belongs to another request
+	Unproven  ErrorKind = "unproven"  // the target refused the request without stating that it has not run
 	Silent    ErrorKind = "silent"    // no event came for too long
 	Gone      ErrorKind = "gone"      // the caller cannot be written to
 )
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,7 +27,7 @@
 // Relay passes requests on.
 type Relay struct {
 	Place func(n board.Need) (*board.Placement, error)
-	// Send starts a request at a placement; id is the last event that the caller has.
+	// Send starts a request at a placement; after is the id of the last event that the caller has.
 	Send func(ctx context.Context, r Request, p *board.Placement, after int) (*Answer, error)
 	// Tickets holds memory on helpers for prompts that are too large for one engine.
 	Tickets *ticket.Holder
@@ -73,21 +73,27 @@
 	defer cancel()
 	s := &run{Request: r, ctx: ctx, relay: l, w: w, exclude: make(map[string]bool), last: r.After}
 	l.Budget(r.Service).First()
-	outcome := s.serve(ctx)
-	metrics.GetOrCreateCounter(`pier_relay_requests_total{outcome="` + outcome + `"}`).Inc()
-	if s.first > 0 {
-		metrics.GetOrCreateHistogram(`pier_relay_first_seconds{service="` + r.Service + `"}`).Update(float64(s.first) / 1000)
-	}
-	metrics.GetOrCreateHistogram(`pier_relay_seconds{service="` + r.Service + `"}`).Update(float64(clock.Now()-r.Arrived) / 1000)
-	slog.Info("request", "request", r.ID, "service", r.Service, "customer", r.Customer, "config", r.Version, "outcome", outcome,
-		"target", s.target, "sent", s.sent, "unreachable", s.dials, "prompt", r.Prompt, "helpers", s.helpers,
-		"predicted_ms", int64(s.wanted), "left_ms", int64(r.Deadline-clock.Now()), "first_ms", int64(s.first), "events", s.events, "aim_ms", int64(r.Aim), "pause_ms", int64(s.pause), "pause_aim_ms", int64(r.Pause),
-		"took_ms", int64(clock.Now()-r.Arrived))
+	s.note(s.serve(ctx))
 	if s.broken {
 		panic(http.ErrAbortHandler) // closes the connection, so that the answer does not look whole
 	}
 }
 
+// note counts and logs what became of the request.
+func (s *run) note(outcome string) {
+	took := clock.Now() - s.Arrived
+	metrics.GetOrCreateCounter(`pier_relay_requests_total{outcome="` + outcome + `"}`).Inc()
+	if s.first > 0 {
+		metrics.GetOrCreateHistogram(`pier_relay_first_seconds{service="` + s.Service + `"}`).Update(float64(s.first) / 1000)
+	}
+	metrics.GetOrCreateHistogram(`pier_relay_seconds{service="` + s.Service + `"}`).Update(float64(took) / 1000)
+	slog.Info("request", "request", s.ID, "service", s.Service, "customer", s.Customer, "config", s.Version,
+		"outcome", outcome, "target", s.target, "helpers", s.helpers, "sent", s.sent, "unreachable", s.dials,
+		"prompt", s.Prompt, "predicted_ms", int64(s.wanted), "first_ms", int64(s.first), "aim_ms", int64(s.Aim),
+		"events", s.events, "pause_ms", int64(s.pause), "pause_aim_ms", int64(s.Pause),
+		"left_ms", int64(s.Deadline-clock.Now()), "took_ms", int64(took))
+}
+
 // serve tries targets until the request has an answer, and returns what became of it.
 func (s *run) serve(ctx context.Context) string {
 	for {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -202,3 +202,15 @@
 	is.True(clock.Now()-clock.Millis(s.heard.Load()) >= silentTime)
 	is.True(s.another()) // taken from the budget already
 }
+
+// A target that refuses without stating that it has not run the request proves nothing: the caller is not told "not run".
+func TestUnprovenRefusal(t *testing.T) {
+	is := is.New(t)
+	for _, status := range []int{408, 421, 429, 503} {
+		got, s, _ := serve(t, Request{Kind: Once, Attempts: 2}, answers(status, "busy"), answers(200, "second"))
+		is.Equal(s.sent, 1)
+		is.Equal(got.Code, http.StatusBadGateway)
+	}
+	got, _, _ := serve(t, Request{Kind: Repeatable, Attempts: 2}, answers(503, "busy"), answers(200, "second"))
+	is.Equal(got.Body.String(), "second")
+}
