relay: Give up an attempt that holds memory when its target is down

Ruled out: a release that was lost (none was sent); a lease that outlives its holder (the holder lived).

Before: TestDownTarget has no such case.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -27,8 +27,9 @@
 	ended := make(chan struct{})
 	defer close(ended)
 	s.heard.Store(int64(clock.Now()))
-	if s.repeatable() && s.sent+1 < max(s.Attempts, 1) {
-		go s.watch(p.Lost(), ended, cancel)
+	more := s.repeatable() && s.sent+1 < max(s.Attempts, 1)
+	if more || p.Memory > 0 {
+		go s.watch(watched{p.Lost(), ended, more, p.Memory > 0}, cancel)
 	}
 	answer, err := s.relay.Send(ctx, s.Request, p, s.last)
 	if err == nil || KindOf(err) != Untouched {
@@ -72,25 +73,36 @@
 	}
 }
 
+// watched is an attempt whose target may prove to be down.
+type watched struct {
+	lost, ended <-chan struct{} // closed when the target is down, and when the attempt has ended
+	more        bool            // the request may be sent once more
+	holds       bool            // the attempt holds memory of helpers
+}
+
 // watch cuts an attempt off whose target was found to be down, once nothing has been heard of it for a while and the
-// budget has another attempt. A target that still sends is left to finish.
-func (s *run) watch(lost, ended <-chan struct{}, cancel context.CancelFunc) {
+// budget has another attempt. A target that still sends is left to finish. An attempt that holds memory of helpers is cut
+// off also without another one, so that the memory does not stay held for a target that is gone.
+func (s *run) watch(w watched, cancel context.CancelFunc) {
 	select {
-	case <-ended:
+	case <-w.ended:
 		return
-	case <-lost:
+	case <-w.lost:
 	}
 	ticker := time.NewTicker(silentPeriod.Duration())
 	defer ticker.Stop()
 	for {
-		if clock.Now()-clock.Millis(s.heard.Load()) > silentTime && s.relay.Budget(s.Service).Repeat() {
-			s.paid.Store(true)
-			s.lost.Store(true)
-			cancel()
-			return
+		if clock.Now()-clock.Millis(s.heard.Load()) > silentTime {
+			again := w.more && s.relay.Budget(s.Service).Repeat()
+			if again || w.holds {
+				s.paid.Store(again)
+				s.lost.Store(true)
+				cancel()
+				return
+			}
 		}
 		select {
-		case <-ended:
+		case <-w.ended:
 			return
 		case <-ticker.C:
 		}
