--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -82,6 +82,14 @@
 	}
 }
 
+// Look has the source asked soon, as what it last told may be old.
+func (f *Feed) Look() {
+	select {
+	case f.hints <- hint{}:
+	default:
+	}
+}
+
 // Behind returns for how long a version above the one in force has been known.
 func (f *Feed) Behind() clock.Millis {
 	if since := f.behind.Load(); since != 0 {
@@ -179,8 +187,10 @@
 
 // follow reads a version that a peer is known to have: from the peer, since the source may be slow or down.
 func (f *Feed) follow(ctx context.Context, h hint) {
-	f.fetch(ctx, h.peer)
-	if f.Current().Version < h.version {
+	if h.peer != "" {
+		f.fetch(ctx, h.peer)
+	}
+	if h.peer == "" || f.Current().Version < h.version {
 		f.poll(ctx)
 	}
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -73,3 +73,35 @@
 	time.Sleep(3 * startPeriod.Duration())
 	is.Equal(f.Current().Version, uint64(1))
 }
+
+// Pattern: the source has dropped its history and a watch hears nothing. The feed looks at once when it is told so.
+func TestLook(t *testing.T) {
+	is := is.New(t)
+	var version atomic.Uint64
+	version.Store(1)
+	read := func() (store.Object, error) {
+		return store.Object{Version: version.Load(), Value: []byte("x")}, nil
+	}
+	f := &Feed{
+		Name: "test", Peers: func() []string { return nil }, Watching: func() bool { return true },
+		Period: func() clock.Millis { return clock.Minute }, Accept: func(store.Object) error { return nil },
+		Read: func(context.Context) (store.Object, error) { return read() },
+		Watch: func(ctx context.Context, _ uint64, wait clock.Millis) (store.Object, error) {
+			if wait > 0 {
+				<-ctx.Done() // hears nothing
+				return store.Object{}, ctx.Err()
+			}
+			return read()
+		},
+	}
+	f.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = f.Run(ctx) }()
+	time.Sleep(2 * startPeriod.Duration())
+	is.Equal(f.Current().Version, uint64(1))
+	version.Store(2)
+	f.Look()
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(f.Current().Version, uint64(2))
+}
