--- a/internal/proof/fault_test.go
+++ b/internal/proof/fault_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/corianderpier/corianderpier/internal/engine"
 	"github.com/corianderpier/corianderpier/internal/fake"
 	"github.com/corianderpier/corianderpier/internal/roster"
 	"github.com/corianderpier/corianderpier/internal/stage"
@@ -143,7 +144,16 @@
 func heldByOwners(t *testing.T, site *stage.Site) {
 	t.Helper()
 	start := time.Now()
-	stage.Eventually(t, memoryGrace, "no owned memory on any engine", func() bool { return len(site.Held()) == 0 })
+	var held []engine.Holding
+	defer func() {
+		for _, h := range held {
+			t.Logf("held: %+v", h)
+		}
+	}()
+	stage.Eventually(t, memoryGrace, "no owned memory on any engine", func() bool {
+		held = site.Held()
+		return len(held) == 0
+	})
 	t.Logf("owned memory was zero after %v (grace of the sweep: %v)", time.Since(start).Round(time.Millisecond), sweep.Grace)
 }
 
--- a/internal/sweep/sweep.go
+++ b/internal/sweep/sweep.go
@@ -19,6 +19,7 @@
 	sweepPeriod   = 2 * clock.Second
 	releasePeriod = 300 * clock.Millis(1)
 	releaseLimit  = 5 * clock.Minute  // for which a release is repeated
+	overtakeTime  = 3 * clock.Second  // within which what was sent before a release reaches its engine, if at all
 	alertTime     = clock.Minute      // after a change of the view, for which each sweep looks at the engines
 	quietPeriod   = 30 * clock.Second // between looks when the view has not changed
 	settleTime    = 5 * clock.Second  // after the start, before the view is trusted
@@ -41,7 +42,7 @@
 	Attached func(ctx context.Context, addr, attempt string) bool // whether a stream is being read
 
 	mu      sync.Mutex
-	pending map[release]clock.Millis // when each release was asked for
+	pending map[release]progress
 	absent  map[string]clock.Millis  // since when each owner has been missing
 	started clock.Millis
 	version uint64       // of the view at the last sweep
@@ -51,9 +52,25 @@
 
 type release struct{ addr, id string }
 
+// progress is how far a release has come.
+type progress struct {
+	asked     clock.Millis
+	tried     clock.Millis // when the engine was last told
+	confirmed bool         // by the engine, which may not have had the prompt yet
+}
+
+// due reports whether the engine is to be told again. A confirmed release is told once more, since it may have overtaken
+// the prompt that it releases.
+func (p progress) due(now clock.Millis) bool {
+	if p.confirmed {
+		return now-p.asked >= overtakeTime
+	}
+	return now-p.tried > releasePeriod
+}
+
 // Start sets up the state.
 func (s *Sweeper) Start() {
-	s.pending = make(map[release]clock.Millis)
+	s.pending = make(map[release]progress)
 	s.absent = make(map[string]clock.Millis)
 	s.started = clock.Now()
 }
@@ -61,16 +78,23 @@
 // Free releases a stream or reservation of this instance, again and again until the engine confirms.
 func (s *Sweeper) Free(addr, id string) {
 	s.mu.Lock()
-	s.pending[release{addr, id}] = clock.Now()
+	now := clock.Now()
+	s.pending[release{addr, id}] = progress{asked: now, tried: now}
 	s.mu.Unlock()
-	go s.try(context.Background(), release{addr, id})
+	go s.try(context.Background(), release{addr, id}, now)
 }
 
 // Pending returns how many releases are not confirmed yet.
 func (s *Sweeper) Pending() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.pending)
+	count := 0
+	for _, p := range s.pending {
+		if !p.confirmed {
+			count++
+		}
+	}
+	return count
 }
 
 // Run repeats releases and compares holdings until the context ends.
@@ -93,29 +117,38 @@
 
 func (s *Sweeper) retry(ctx context.Context) {
 	s.mu.Lock()
-	var due []release
-	for r, since := range s.pending {
-		age := clock.Now() - since
-		if age > releaseLimit {
+	defer s.mu.Unlock()
+	now := clock.Now()
+	for r, p := range s.pending {
+		if now-p.asked > releaseLimit {
 			delete(s.pending, r)
-		} else if age > releasePeriod {
-			due = append(due, r)
+			continue
+		}
+		if p.due(now) {
+			p.tried = now
+			s.pending[r] = p
+			go s.try(ctx, r, now)
 		}
-	}
-	s.mu.Unlock()
-	for _, r := range due {
-		go s.try(ctx, r)
 	}
 }
 
-func (s *Sweeper) try(ctx context.Context, r release) {
+// try tells an engine once, at a time that says whether its confirmation is the last that is needed.
+func (s *Sweeper) try(ctx context.Context, r release, at clock.Millis) {
 	if err := s.Release(ctx, r.addr, r.id); err != nil {
 		count("release_failed")
 		return
 	}
 	s.mu.Lock()
-	delete(s.pending, r)
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	p, known := s.pending[r]
+	if known && at-p.asked >= overtakeTime {
+		delete(s.pending, r)
+		return
+	}
+	if known {
+		p.confirmed = true
+		s.pending[r] = p
+	}
 }
 
 // sweep looks at the engines whose home this instance is.
