board: Choose by chance among engines that are as good, as news takes time

Ruled out: a wrong model of the engine for a prompt alone (read + rest of a pass + one pass, as predicted, 11 ms more for the way; 226 requests).

Change: an instance counts what others place a second, takes from it how many placements it does not know yet (10 ms of news), and chooses at random among three engines for each, if they cost within 0.03 of the prompt's value of the best. Test: TestCrestBeforeNews, no network: 24 instances with one idle engine all chose it; now at most half do.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -38,6 +38,7 @@
 	pending    packet
 	greet      bool // there are other instances than before, which know nothing of own work
 	number     uint64
+	news       news
 }
 
 // packet is what instances tell one another.
@@ -155,7 +156,7 @@
 		if most := engine.Memory * min(len(nodes), maxParts); most > 0 && need.Prompt+need.Output > most {
 			return nil, &Error{Op: "place", Kind: TooLarge}
 		}
-		chosen = chooseEngine(now, need, nodes)
+		chosen = chooseEngine(now, need, nodes, b.choices(now, len(nodes)))
 		if chosen.first != nil && chosen.cost+price(nodes)*engine.ReadTime(need.Prompt) > need.value() {
 			return nil, &Error{Op: "place", Kind: Costly}
 		}
@@ -168,6 +169,13 @@
 	return b.take(now, need, chosen), nil
 }
 
+// choices returns among how many of the best engines a prompt takes one at random. What other instances have placed within
+// the last moments is not known here, and without chance all would take the same engine.
+func (b *Board) choices(now clock.Millis, engines int) int {
+	unknown := b.news.rate(now) * float64(newsTime) / float64(clock.Second)
+	return 1 + int(min(choicesFor*unknown, mostChoices*float64(engines)))
+}
+
 // candidates are the targets that may run a request; if all of those are ejected, those too.
 func (b *Board) candidates(now clock.Millis, need Need) []*node {
 	var usable, rest, excluded []*node
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -133,6 +133,33 @@
 	}
 }
 
+// Pattern: a crest of short questions from many instances, none of which knows yet what the others have just placed. They
+// do not all take the engine that has the least to do.
+func TestCrestBeforeNews(t *testing.T) {
+	is := is.New(t)
+	const instances, engines = 24, 24
+	boards := newBoards(t, instances, engines)
+	for i := range 5 * engines {
+		place(t, boards[i%instances], short).Begun()
+	}
+	settle(boards)
+	for _, b := range boards { // one engine has nothing to do
+		b.Loop.Call(func() { b.node("engine-0").jobs = nil })
+	}
+	settle(boards)
+	for _, b := range boards {
+		b.Tell = func([]byte) {}
+	}
+	count := make(map[string]int)
+	for _, b := range boards {
+		count[place(t, b, short).Target.ID]++
+	}
+	for id, n := range count {
+		t.Log(id, n)
+		is.True(n <= 12) // of 24
+	}
+}
+
 // What an instance that has gone silent has placed is forgotten; what it ends is taken off at once.
 func TestEndedWork(t *testing.T) {
 	is := is.New(t)
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -24,6 +24,10 @@
 	goneFor     = 0.9                    // of a caller's patience: predictions above it count as lost for certain
 	partCost    = 0.003                  // of its value for each further engine that reads a prompt, as later ones find fewer engines free
 	memoryShare = 0.9                    // of an engine's memory that is given out
+	newsTime    = 10 * clock.Millis(1)   // until other instances know of a placement
+	choicesFor  = 3.0                    // engines to choose from at random, for each placement that is not known yet
+	mostChoices = 0.25                   // of the engines
+	equalCost   = 0.03                   // of its value: engines that cost a prompt no more than this above the best are as good
 	idleBacklog = 300 * clock.Millis(1)  // unread at each engine on average, up to which their time costs nothing
 	fullBacklog = 1500 * clock.Millis(1) // at which it costs the most
 	timePrice   = 20.0                   // value of a millisecond of a loaded engine, in tokens
@@ -127,7 +131,7 @@
 }
 
 // chooseEngine weighs one engine, and for a long prompt several, by the value lost for it and for those it disturbs.
-func chooseEngine(now clock.Millis, need Need, nodes []*node) pick {
+func chooseEngine(now clock.Millis, need Need, nodes []*node, choices int) pick {
 	for _, n := range nodes {
 		n.advance(now)
 	}
@@ -143,7 +147,7 @@
 		if parts > 1 && whole && nodes[0].engine.ReadTime(need.Prompt) < spreadAbove*aim {
 			break
 		}
-		p := chooseParts(now, need, nodes, parts, !whole)
+		p := chooseParts(now, need, nodes, parts, !whole, choices)
 		if p.first != nil && (best.first == nil || p.cost < best.cost) {
 			best = p
 		}
@@ -167,22 +171,13 @@
 
 // chooseParts takes the engines on which equal parts of the prompt cost least: one that runs it, and helpers. Where the
 // prompt is split, each keeps the memory of its part.
-func chooseParts(now clock.Millis, need Need, nodes []*node, parts int, split bool) pick {
+func chooseParts(now clock.Millis, need Need, nodes []*node, parts int, split bool, choices int) pick {
 	memory, share := need.Prompt+need.Output, 0
 	if split {
 		share = need.Prompt / parts
 		memory = share + need.Output
 	}
-	var first *role
-	for _, n := range nodes {
-		if !n.fits(memory) {
-			continue
-		}
-		r := n.weigh(now, need, parts, false)
-		if first == nil || r.cost < first.cost {
-			first = &r
-		}
-	}
+	first := chooseFirst(now, need, nodes, parts, memory, choices)
 	if first == nil || split && parts < 2 {
 		return pick{}
 	}
@@ -198,6 +193,25 @@
 	return p
 }
 
+// chooseFirst takes one of the engines that cost least, at random among some that are as good.
+func chooseFirst(now clock.Millis, need Need, nodes []*node, parts, memory, choices int) *role {
+	roles := make([]role, 0, len(nodes))
+	for _, n := range nodes {
+		if n.fits(memory) {
+			roles = append(roles, n.weigh(now, need, parts, false))
+		}
+	}
+	if len(roles) == 0 {
+		return nil
+	}
+	slices.SortFunc(roles, func(a, b role) int { return cmp.Compare(a.cost, b.cost) })
+	equal := 1
+	for equal < min(choices, len(roles)) && roles[equal].cost <= roles[0].cost+equalCost*need.value() {
+		equal++
+	}
+	return &roles[rand.IntN(equal)]
+}
+
 func chooseHelpers(now clock.Millis, need Need, nodes []*node, parts, memory int, first *node) []role {
 	roles := make([]role, 0, len(nodes))
 	for _, n := range nodes {
