board: Predict by the pass that each engine is in

Each engine that reads a part is in the middle of a pass, so that the last of k is done after k/(k+1) of a pass, not a half; by then the first engine is in the middle of another pass; and an engine without answers gives the first event as soon as it has read.

Change: the time to read and the time to the first event are predicted apart. Test: TestPrediction (fails before: idle 79 ms for 34, two parts 30 ms short).

--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -301,3 +301,27 @@
 		is.True(boards[0].node(p.Target.ID).usable(clock.Now()))
 	})
 }
+
+// The first event of a prompt comes when it is read, by an idle engine; beside answers a pass and a half later; and where
+// several engines beside answers read it, later by the rest of two passes.
+func TestPrediction(t *testing.T) {
+	is := is.New(t)
+	pass := sheet.WriteTime(2, 0)
+	near := func(got clock.Millis, want float64) {
+		t.Helper()
+		t.Log(got, want)
+		is.True(float64(got) > want-8 && float64(got) < want+8)
+	}
+	boards := newBoards(t, 1, 1)
+	near(place(t, boards[0], short).Predicted, sheet.ReadTime(short.Prompt))
+	boards = newBoards(t, 1, 1)
+	place(t, boards[0], short).Begun()
+	near(place(t, boards[0], short).Predicted, sheet.ReadTime(short.Prompt)+1.5*pass)
+	boards = newBoards(t, 1, 3)
+	for range 6 {
+		place(t, boards[0], short).Begun()
+	}
+	p := place(t, boards[0], Need{Service: "models", Prompt: 100_000, Output: 600, Aim: 1000, Pause: 1000})
+	is.Equal(len(p.Helpers), 1)
+	near(p.Predicted, sheet.PartTime(100_000, 2)+(2.0/3+0.5+1)*pass)
+}
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -165,7 +165,8 @@
 type role struct {
 	*node
 	cost      float64
-	predicted float64
+	read      float64         // milliseconds until the part is read
+	predicted float64         // until the first event, if all other parts are read by then
 	delayed   map[key]float64 // value that others lose
 }
 
@@ -228,7 +229,8 @@
 	r := role{node: n}
 	part := n.engine.PartTime(need.Prompt, parts)
 	tokens := need.Prompt / parts
-	r.predicted = n.predict(part, tokens, helper)
+	r.read = n.predictRead(part, tokens, parts, helper)
+	r.predicted = r.read + n.predictWrite(tokens, parts)
 	r.delayed = n.harm(now, part, tokens, helper)
 	r.cost = need.loss(r.predicted) + n.risk(now)*need.value()
 	for _, lost := range r.delayed {
@@ -245,7 +247,7 @@
 		if i > 0 {
 			p.helpers = append(p.helpers, r.node)
 		}
-		p.predicted = max(p.predicted, r.predicted)
+		p.predicted = max(p.predicted, r.read)
 		p.cost += r.cost - need.loss(r.predicted)
 		for k, lost := range r.delayed {
 			p.cost -= lost
@@ -255,6 +257,7 @@
 	for _, lost := range delayed {
 		p.cost += lost
 	}
+	p.predicted += first.predicted - first.read
 	p.cost += need.loss(p.predicted) + partCost*need.value()*float64(len(chosen)-1)
 	return p
 }
@@ -269,31 +272,42 @@
 	return limit == 0 || tokens == 0 || float64(n.held()+tokens) <= limit
 }
 
-// predict returns how long it takes until a further prompt's first event, in milliseconds. A helper's part is read
-// before all that waits, and takes no slot.
-func (n *node) predict(part float64, tokens int, helper bool) float64 {
+// predictRead returns how long it takes until one of several parts of a further prompt is read, in milliseconds. A helper's
+// part is read before all that waits, and takes no slot.
+func (n *node) predictRead(part float64, tokens, parts int, helper bool) float64 {
 	writers, context, backlog, unread := n.load()
 	e := n.engine
-	wait := 0.0
-	if over := n.running() - n.slots(); over >= 0 && !helper {
-		wait = float64(over+1) * n.slotTime(writers, context)
-	}
-	current := 0.0
-	if writers > 0 {
-		current = e.PassTime(writers, context, backlog, unread) / 2
-	}
 	if helper {
 		backlog, unread = 0, 0
 	}
 	total := backlog + part
-	if writers == 0 && wait == 0 {
-		return (total + e.WriteTime(1, tokens)) * n.slowness()
+	if over := n.running() - n.slots(); over >= 0 && !helper {
+		total += float64(over+1) * n.slotTime(writers, context)
+	}
+	if writers == 0 {
+		return total * n.slowness()
 	}
-	passes := 1.0
+	// The latest of several engines counts, each of which is in the middle of a pass.
+	current := e.PassTime(writers, context, backlog, unread) * float64(parts) / float64(parts+1)
+	passes := 0.0
 	if most := e.PassTokens(); most > 0 {
-		passes += float64((unread + tokens) / most)
+		passes = float64((unread + tokens) / most)
+	}
+	return (current + total + passes*e.WriteTime(writers, context)) * n.slowness()
+}
+
+// predictWrite returns how long it takes from the end of reading until the first event. Where other engines read as well,
+// the first one is in the middle of a pass by then.
+func (n *node) predictWrite(tokens, parts int) float64 {
+	writers, context, _, _ := n.load()
+	if writers == 0 {
+		return n.engine.StepTime * n.slowness()
+	}
+	write := n.engine.WriteTime(writers+1, context+tokens)
+	if parts > 1 {
+		write += n.engine.WriteTime(writers, context) / 2
 	}
-	return (wait + current + total + passes*e.WriteTime(writers+1, context+tokens)) * n.slowness()
+	return write * n.slowness()
 }
 
 func (n *node) slots() int {
