--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -17,8 +17,6 @@
 	repeatPeriod = clock.Second           // between repeats of all own work
 	silentTime   = 3500 * clock.Millis(1) // after which the work of an instance that says nothing is forgotten
 	doubtTime    = 2 * clock.Second       // within which live targets are listed again after an outage of the list
-	newsSpan     = clock.Second           // over which the rate of others' placements is taken
-	partsSpan    = 3 * clock.Second       // the same of helpers' parts, which are fewer
 	packetWorks  = 24                     // works in a datagram
 )
 
@@ -40,8 +38,7 @@
 	pending    packet
 	greet      bool // there are other instances than before, which know nothing of own work
 	number     uint64
-	news       flow // placements of other instances
-	parts      flow // milliseconds of reading that helpers were given
+	news       news
 }
 
 // packet is what instances tell one another.
@@ -61,7 +58,6 @@
 	b.own = make(map[uint64]*Work)
 	b.placed = make(map[uint64]clock.Millis)
 	b.placements = make(map[uint64]*Placement)
-	b.news.span, b.parts.span = newsSpan, partsSpan
 }
 
 // Run tells the other instances of own work until the context ends.
@@ -155,7 +151,7 @@
 	var chosen pick
 	if isEngine && need.Prompt > 0 {
 		for _, n := range nodes {
-			n.engine, n.preempted = engine, b.preempted(now, len(nodes))
+			n.engine = engine
 		}
 		if most := engine.Memory * min(len(nodes), maxParts); most > 0 && need.Prompt+need.Output > most {
 			return nil, &Error{Op: "place", Kind: TooLarge}
@@ -180,11 +176,6 @@
 	return 1 + int(min(choicesFor*unknown, mostChoices*float64(engines)))
 }
 
-// preempted returns the share of an engine's time that later parts of other prompts take from what it reads already.
-func (b *Board) preempted(now clock.Millis, engines int) float64 {
-	return min(mostPreempted, b.parts.rate(now)/float64(clock.Second)/float64(engines))
-}
-
 // candidates are the targets that may run a request; if all of those are ejected, those too.
 func (b *Board) candidates(now clock.Millis, need Need) []*node {
 	var usable, rest, excluded []*node
@@ -243,9 +234,6 @@
 		if i == 0 && parts > 1 {
 			j.tokens = w.Prompt - (parts-1)*(w.Prompt/parts)
 		}
-		if j.helper && !w.Begun {
-			b.parts.add(now, n.engine.PartTime(w.Prompt, parts))
-		}
 		if !w.Begun {
 			j.reading = max(0, n.engine.PartTime(w.Prompt, parts)-float64(w.Age))
 		}
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -11,35 +11,33 @@
 )
 
 const (
-	lateShare      = 0.75                   // of a request's value that is lost when it is late
-	lostShare      = 0.25                   // that is lost in addition when the caller gives up
-	slopeShare     = 0.1                    // of the value when the first event takes all of its aim, so that of two in time the sooner is chosen
-	soonEdge       = 0.75                   // of an aim: predictions above it begin to count as late
-	lateEdge       = 1.15                   // of an aim: predictions above it count as late for certain
-	partShare      = 0.75                   // of the engines: the most that read one prompt, so that some stay free for short ones
-	maxParts       = 16                     // engines that read one prompt
-	spreadAbove    = 0.2                    // of its aim: a prompt that takes longer to read may be read by several engines
-	lateSlope      = 0.01                   // the same for each further aim
-	goneFrom       = 0.6                    // of a caller's patience: predictions above it begin to count as lost
-	goneFor        = 0.9                    // of a caller's patience: predictions above it count as lost for certain
-	partCost       = 0.003                  // of its value for each further engine that reads a prompt, as later ones find fewer engines free
-	memoryShare    = 0.9                    // of an engine's memory that is given out
-	newsTime       = 10 * clock.Millis(1)   // until other instances know of a placement
-	choicesFor     = 3.0                    // engines to choose from at random, for each placement that is not known yet
-	mostChoices    = 0.25                   // of the engines
-	preemptedAfter = clock.Second           // of reading, from which on later parts take their full share
-	mostPreempted  = 0.6                    // of an engine's time
-	equalCost      = 0.03                   // of its value: engines that cost a prompt no more than this above the best are as good
-	idleBacklog    = 300 * clock.Millis(1)  // unread at each engine on average, up to which their time costs nothing
-	fullBacklog    = 1500 * clock.Millis(1) // at which it costs the most
-	timePrice      = 20.0                   // value of a millisecond of a loaded engine, in tokens
-	zoneCost       = 0.3                    // slots that a plain target in another zone seems busier
-	riskCost       = 4                      // times a plain target's slots that it seems busier if all of its requests fail
-	tieCost        = 0.01                   // of a target's slots, at random, so that equal targets are taken in turn
-	slowTimes      = 2.5                    // as long as the fastest target's answers: a plain target that takes longer is slow
-	slowCost       = 0.2                    // of a target's slots that it seems busier for each time as long as the fastest
-	patience       = 4                      // aims after which callers give up
-	minPatience    = 2 * clock.Second
+	lateShare   = 0.75                   // of a request's value that is lost when it is late
+	lostShare   = 0.25                   // that is lost in addition when the caller gives up
+	slopeShare  = 0.1                    // of the value when the first event takes all of its aim, so that of two in time the sooner is chosen
+	soonEdge    = 0.75                   // of an aim: predictions above it begin to count as late
+	lateEdge    = 1.15                   // of an aim: predictions above it count as late for certain
+	partShare   = 0.75                   // of the engines: the most that read one prompt, so that some stay free for short ones
+	maxParts    = 16                     // engines that read one prompt
+	spreadAbove = 0.2                    // of its aim: a prompt that takes longer to read may be read by several engines
+	lateSlope   = 0.01                   // the same for each further aim
+	goneFrom    = 0.6                    // of a caller's patience: predictions above it begin to count as lost
+	goneFor     = 0.9                    // of a caller's patience: predictions above it count as lost for certain
+	partCost    = 0.003                  // of its value for each further engine that reads a prompt, as later ones find fewer engines free
+	memoryShare = 0.9                    // of an engine's memory that is given out
+	newsTime    = 10 * clock.Millis(1)   // until other instances know of a placement
+	choicesFor  = 3.0                    // engines to choose from at random, for each placement that is not known yet
+	mostChoices = 0.25                   // of the engines
+	equalCost   = 0.03                   // of its value: engines that cost a prompt no more than this above the best are as good
+	idleBacklog = 300 * clock.Millis(1)  // unread at each engine on average, up to which their time costs nothing
+	fullBacklog = 1500 * clock.Millis(1) // at which it costs the most
+	timePrice   = 20.0                   // value of a millisecond of a loaded engine, in tokens
+	zoneCost    = 0.3                    // slots that a plain target in another zone seems busier
+	riskCost    = 4                      // times a plain target's slots that it seems busier if all of its requests fail
+	tieCost     = 0.01                   // of a target's slots, at random, so that equal targets are taken in turn
+	slowTimes   = 2.5                    // as long as the fastest target's answers: a plain target that takes longer is slow
+	slowCost    = 0.2                    // of a target's slots that it seems busier for each time as long as the fastest
+	patience    = 4                      // aims after which callers give up
+	minPatience = 2 * clock.Second
 )
 
 // Placement is where a request runs.
@@ -167,7 +165,6 @@
 type role struct {
 	*node
 	cost      float64
-	rank      float64         // cost, with chance among engines that are as good
 	read      float64         // milliseconds until the part is read
 	predicted float64         // until the first event, if all other parts are read by then
 	delayed   map[key]float64 // value that others lose
@@ -220,12 +217,10 @@
 	roles := make([]role, 0, len(nodes))
 	for _, n := range nodes {
 		if n != first && n.fits(memory) {
-			r := n.weigh(now, need, parts, true)
-			r.rank = r.cost + rand.Float64()*equalCost/float64(parts)*need.value()
-			roles = append(roles, r)
+			roles = append(roles, n.weigh(now, need, parts, true))
 		}
 	}
-	slices.SortStableFunc(roles, func(a, b role) int { return cmp.Compare(a.rank, b.rank) })
+	slices.SortStableFunc(roles, func(a, b role) int { return cmp.Compare(a.cost, b.cost) })
 	return roles[:min(len(roles), parts-1)]
 }
 
@@ -289,7 +284,6 @@
 	if over := n.running() - n.slots(); over >= 0 && !helper {
 		total += float64(over+1) * n.slotTime(writers, context)
 	}
-	total = n.stretched(total)
 	if writers == 0 {
 		return total * n.slowness()
 	}
@@ -302,12 +296,6 @@
 	return (current + total + passes*e.WriteTime(writers, context)) * n.slowness()
 }
 
-// stretched returns how long some reading takes if parts of other prompts that come later go before it; that is little for
-// reading that is short.
-func (n *node) stretched(reading float64) float64 {
-	return reading / (1 - n.preempted*min(1, reading/float64(preemptedAfter)))
-}
-
 // predictWrite returns how long it takes from the end of reading until the first event. Where other engines read as well,
 // the first one is in the middle of a pass by then.
 func (n *node) predictWrite(tokens, parts int) float64 {
@@ -358,8 +346,8 @@
 	done := 0.0
 	for _, j := range n.unread() {
 		done += j.reading
-		at := float64(now-j.placed) + n.stretched(done)*n.slowness()
-		lost := loss(at+(n.stretched(done+part)-n.stretched(done))*n.slowness(), j.work.Aim, j.work.value()) - loss(at, j.work.Aim, j.work.value())
+		at := float64(now-j.placed) + done*n.slowness()
+		lost := loss(at+part*n.slowness(), j.work.Aim, j.work.value()) - loss(at, j.work.Aim, j.work.value())
 		delayed[j.key] = lost
 	}
 	return delayed
--- a/internal/board/node.go
+++ b/internal/board/node.go
@@ -33,8 +33,6 @@
 	answer   float64      // milliseconds that its answers take, smoothed
 	answered clock.Millis // when the last one came
 	engine   model.Engine
-	// preempted is the share of the engine's time that parts which come later take from what it has to read.
-	preempted float64
 }
 
 func (n *node) usable(now clock.Millis) bool { return !n.gone && !n.Draining && now >= n.ejected }
--- a/internal/board/tell.go
+++ b/internal/board/tell.go
@@ -93,7 +93,7 @@
 		switch {
 		case !b.refresh(now, k):
 			b.add(now, k, w)
-			b.news.add(now, 1)
+			b.news.add(now)
 		case w.Begun:
 			b.begun(k) // the datagram that said so may be lost
 		}
