feed: Ask the source once a second while it has nothing yet

Ruled out: peers' news (an instance that meets others fetches from them).

Change: the short period holds only while the source does not answer; a configuration that is not written yet is an answer; the poll beside the first tries is gone. Test: TestSourceWithoutVersion (fails before: 24 reads in 2.5 s, 5 allowed).

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -15,7 +15,8 @@
 
 const (
 	watchTime    = 10 * clock.Second // of one watch call
-	startPeriod  = 200 * clock.Millis(1)
+	startPeriod  = 200 * clock.Millis(1) // between tries to get a first version while the source does not answer
+	emptyPeriod  = clock.Second          // between tries while the source answers that there is none yet
 	retryPause   = 500 * clock.Millis(1)
 	maxBegins    = 4                     // tries at once to get a first version
 	fetchTimeout = 600 * clock.Millis(1) // of a fetch from a peer, after which the source is asked
@@ -103,8 +104,12 @@
 	go f.watch(ctx)
 	for ctx.Err() == nil {
 		wait := f.Period()
-		if f.Current().Version == 0 {
+		first := f.Current().Version == 0
+		if first {
 			wait = startPeriod
+			if f.Reached() > 0 {
+				wait = emptyPeriod
+			}
 			f.tryBegin(ctx)
 		}
 		select {
@@ -112,7 +117,9 @@
 		case h := <-f.hints:
 			f.follow(ctx, h)
 		case <-time.After(wait.Duration()):
-			f.poll(ctx)
+			if !first {
+				f.poll(ctx)
+			}
 		}
 	}
 	return nil
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -105,3 +105,33 @@
 	time.Sleep(100 * time.Millisecond)
 	is.Equal(f.Current().Version, uint64(2))
 }
+
+// While the source answers that there is nothing yet, it is asked once a second, and a first version is taken soon.
+func TestSourceWithoutVersion(t *testing.T) {
+	is := is.New(t)
+	var reads atomic.Int64
+	var written atomic.Bool
+	f := &Feed{
+		Name: "test", Peers: func() []string { return nil }, Watching: func() bool { return true },
+		Period: func() clock.Millis { return clock.Minute }, Accept: func(store.Object) error { return nil },
+		Read: func(context.Context) (store.Object, error) {
+			reads.Add(1)
+			if !written.Load() {
+				return store.Object{}, nil
+			}
+			return store.Object{Version: 7, Value: []byte("7")}, nil
+		},
+		Watch: func(ctx context.Context, _ uint64, wait clock.Millis) (store.Object, error) {
+			return store.Object{}, clock.Sleep(ctx, wait)
+		},
+	}
+	f.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = f.Run(ctx) }()
+	time.Sleep(2500 * time.Millisecond)
+	is.True(reads.Load() <= 5)
+	written.Store(true)
+	time.Sleep(1200 * time.Millisecond)
+	is.Equal(f.Current().Version, uint64(7))
+}
