--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	watchTime    = 10 * clock.Second // of one watch call
+	watchTime    = 10 * clock.Second     // of one watch call
 	startPeriod  = 200 * clock.Millis(1) // between tries to get a first version while the source does not answer
 	emptyPeriod  = clock.Second          // between tries while the source answers that there is none yet
 	retryPause   = 500 * clock.Millis(1)
--- /dev/null
+++ b/internal/serve/limit_test.go
@@ -0,0 +1,81 @@
+package serve
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+)
+
+// dial returns a connection and a function that sends a request on it and reads the answer.
+func dial(t *testing.T, addr string) (net.Conn, func() error) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	in := bufio.NewReader(c)
+	return c, func() error {
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+			return err
+		}
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return err
+		}
+		_, err = io.ReadAll(resp.Body)
+		return err
+	}
+}
+
+// closedAfter returns how long it takes until the other end closes a connection.
+func closedAfter(t *testing.T, c net.Conn) clock.Millis {
+	t.Helper()
+	start := clock.Now()
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.Copy(io.Discard, c); err != nil {
+		t.Fatal(err)
+	}
+	return clock.Now() - start
+}
+
+// Limits that change while the server runs hold for connections that are open already; the handler's deadline for a body
+// stays its own.
+func TestLimitsChange(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var limits atomic.Pointer[Limits]
+	limits.Store(&Limits{Header: 5 * clock.Second, Idle: 300})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		out := http.NewResponseController(w)
+		is.NoErr(out.SetReadDeadline(time.Now().Add(time.Minute)))
+		is.NoErr(out.SetReadDeadline(time.Time{}))
+	})}
+	go func() { _ = server.Serve(Limit(l, server, func() Limits { return *limits.Load() })) }()
+	t.Cleanup(func() { _ = server.Close() })
+
+	c, ask := dial(t, l.Addr().String())
+	is.NoErr(ask())
+	took := closedAfter(t, c)
+	is.True(took >= 250 && took < 1500)
+
+	c, ask = dial(t, l.Addr().String())
+	is.NoErr(ask())
+	limits.Store(&Limits{Header: 400, Idle: 2 * clock.Second})
+	is.NoErr(ask())
+	time.Sleep(time.Second) // longer than the first idle time
+	is.NoErr(ask())
+	_, err = io.WriteString(c, "GET / HT")
+	is.NoErr(err)
+	took = closedAfter(t, c)
+	is.True(took >= 300 && took < 1500) // an unfinished header, by the newer limit
+}
--- a/internal/sweep/sweep.go
+++ b/internal/sweep/sweep.go
@@ -43,7 +43,7 @@
 
 	mu      sync.Mutex
 	pending map[release]progress
-	absent  map[string]clock.Millis  // since when each owner has been missing
+	absent  map[string]clock.Millis // since when each owner has been missing
 	started clock.Millis
 	version uint64       // of the view at the last sweep
 	changed clock.Millis // when the view last changed
