board: Try: repeat own work by its numbers, and find works by key

Cause looked at: each instance repeats all its work once a second to all others, and each of those looks for it in all works at all engines. Try: works are found by key; once a second only their numbers are told, and all of them each fourth time and for four seconds after other instances have come.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -13,11 +13,14 @@
 )
 
 const (
-	flushPeriod  = 50 * clock.Millis(1)   // in which ends of works are gathered before they are told
-	repeatPeriod = clock.Second           // between repeats of all own work
-	silentTime   = 3500 * clock.Millis(1) // after which the work of an instance that says nothing is forgotten
-	doubtTime    = 2 * clock.Second       // within which live targets are listed again after an outage of the list
-	packetWorks  = 24                     // works in a datagram
+	flushPeriod   = 50 * clock.Millis(1)   // in which ends of works are gathered before they are told
+	repeatPeriod  = clock.Second           // between repeats of the numbers of all own work
+	repeatsWhole  = 4                      // of which one tells all of the work, not its numbers alone
+	silentTime    = 3500 * clock.Millis(1) // after which the work of an instance that says nothing is forgotten
+	doubtTime     = 2 * clock.Second       // within which live targets are listed again after an outage of the list
+	greetRepeats  = 4                      // in which all is told after other instances have come
+	packetNumbers = 200                    // numbers of works in a datagram
+	packetWorks   = 24                     // works in a datagram
 )
 
 // Board is one instance's picture of all targets. Its state belongs to the control loop.
@@ -32,12 +35,14 @@
 	Ask     func(ctx context.Context, t Target) (float64, error)
 
 	nodes      map[string]*node
+	works      map[key]*known
 	own        map[uint64]*Work
 	placed     map[uint64]clock.Millis
 	placements map[uint64]*Placement
 	pending    packet
 	greet      bool // there are other instances than before, which know nothing of own work
 	number     uint64
+	numbers    int // repeats of the numbers alone since all was told; below zero while all is to be told
 	news       news
 }
 
@@ -47,6 +52,7 @@
 	Placed  []Work   `cbor:"2,keyasint,omitempty"`
 	Begun   []uint64 `cbor:"3,keyasint,omitempty"`
 	Ended   []uint64 `cbor:"4,keyasint,omitempty"`
+	Kept    []uint64 `cbor:"5,keyasint,omitempty"` // works that are still in progress
 	Failed  []string `cbor:"6,keyasint,omitempty"`
 	Dark    []string `cbor:"7,keyasint,omitempty"` // targets that could not be reached
 	Reports []Report `cbor:"8,keyasint,omitempty"`
@@ -55,6 +61,7 @@
 // Start sets up the state.
 func (b *Board) Start() {
 	b.nodes = make(map[string]*node)
+	b.works = make(map[key]*known)
 	b.own = make(map[uint64]*Work)
 	b.placed = make(map[uint64]clock.Millis)
 	b.placements = make(map[uint64]*Placement)
@@ -227,10 +234,12 @@
 // add counts a work at its targets.
 func (b *Board) add(now clock.Millis, k key, w Work) {
 	parts := 1 + len(w.Helpers)
-	for i, id := range append([]string{w.Target}, w.Helpers...) {
+	targets := append([]string{w.Target}, w.Helpers...)
+	b.works[k] = &known{targets: targets, heard: now}
+	for i, id := range targets {
 		n := b.node(id)
 		n.advance(now)
-		j := &job{key: k, work: w, placed: now - w.Age, heard: now, helper: i > 0, begun: w.Begun, tokens: w.Prompt / parts}
+		j := &job{key: k, work: w, placed: now - w.Age, helper: i > 0, begun: w.Begun, tokens: w.Prompt / parts}
 		if i == 0 && parts > 1 {
 			j.tokens = w.Prompt - (parts-1)*(w.Prompt/parts)
 		}
@@ -243,10 +252,19 @@
 
 // begun notes that the first event of a work has come, so that its prompt is read.
 func (b *Board) begun(k key) {
-	for _, n := range b.nodes {
+	w := b.works[k]
+	if w == nil {
+		return
+	}
+	now := clock.Now()
+	for _, id := range w.targets {
+		n := b.nodes[id]
+		if n == nil {
+			continue
+		}
 		for _, j := range n.jobs {
 			if j.key == k {
-				n.advance(clock.Now())
+				n.advance(now)
 				j.reading, j.begun, j.work.Begun = 0, true, true
 			}
 		}
@@ -265,8 +283,18 @@
 	return slices.ContainsFunc(n.jobs, func(j *job) bool { return j.key == k && j.work.Split })
 }
 
+// ended takes a work off its targets.
 func (b *Board) ended(k key) {
-	for id, n := range b.nodes {
+	w := b.works[k]
+	if w == nil {
+		return
+	}
+	delete(b.works, k)
+	for _, id := range w.targets {
+		n := b.nodes[id]
+		if n == nil {
+			continue
+		}
 		n.remove(k)
 		if n.gone && len(n.jobs) == 0 {
 			delete(b.nodes, id)
--- a/internal/board/tell.go
+++ b/internal/board/tell.go
@@ -9,7 +9,7 @@
 )
 
 func (p packet) empty() bool {
-	return len(p.Placed)+len(p.Begun)+len(p.Ended)+len(p.Failed)+len(p.Dark)+len(p.Reports) == 0
+	return len(p.Placed)+len(p.Begun)+len(p.Ended)+len(p.Kept)+len(p.Failed)+len(p.Dark)+len(p.Reports) == 0
 }
 
 // flush tells the others what has changed since the last time.
@@ -26,12 +26,15 @@
 	b.flush()
 	if b.greet {
 		b.greet = false
-		b.repeat()
+		b.tellWhole(clock.Now())
 	}
 }
 
-// Greet has all own work told soon, as other instances have come; it runs on the control loop.
-func (b *Board) Greet() { b.greet = true }
+// Greet has all own work told soon and for a while, as other instances have come; it runs on the control loop.
+func (b *Board) Greet() {
+	b.greet = true
+	b.numbers = -greetRepeats
+}
 
 func (b *Board) send(p packet) {
 	p.From = b.Self
@@ -43,9 +46,33 @@
 	b.Tell(data)
 }
 
-// repeat tells the others of all own work, and forgets that of instances that are silent.
+// repeat tells the others which own work is still in progress, and forgets that of instances that are silent.
 func (b *Board) repeat() {
 	now := clock.Now()
+	if b.numbers <= 0 {
+		b.tellWhole(now)
+	} else {
+		b.tellNumbers()
+	}
+	b.numbers = (b.numbers + 1) % repeatsWhole
+	for id, n := range b.nodes {
+		if n.missing > 0 && now-n.missing > doubtTime {
+			slog.Info("target not listed again", "target", id)
+			n.gone = true
+		}
+		if n.gone && len(n.jobs) == 0 {
+			delete(b.nodes, id)
+		}
+	}
+	for k, w := range b.works {
+		if k.owner != b.Self && now-w.heard >= silentTime {
+			b.ended(k)
+		}
+	}
+}
+
+// tellWhole tells all of the own work, for those that have missed a part of it.
+func (b *Board) tellWhole(now clock.Millis) {
 	var p packet
 	for number, w := range b.own {
 		told := *w
@@ -59,22 +86,21 @@
 	if !p.empty() {
 		b.send(p)
 	}
-	for id, n := range b.nodes {
-		if n.missing > 0 && now-n.missing > doubtTime {
-			slog.Info("target not listed again", "target", id)
-			n.gone = true
-		}
-		kept := n.jobs[:0]
-		for _, j := range n.jobs {
-			if j.owner == b.Self || now-j.heard < silentTime {
-				kept = append(kept, j)
-			}
-		}
-		n.jobs = kept
-		if n.gone && len(n.jobs) == 0 {
-			delete(b.nodes, id)
+}
+
+// tellNumbers tells which own work is in progress, for those that know it.
+func (b *Board) tellNumbers() {
+	var p packet
+	for number := range b.own {
+		p.Kept = append(p.Kept, number)
+		if len(p.Kept) == packetNumbers {
+			b.send(p)
+			p = packet{}
 		}
 	}
+	if !p.empty() {
+		b.send(p)
+	}
 }
 
 // Receive handles a datagram of another instance.
@@ -98,6 +124,9 @@
 			b.begun(k) // the datagram that said so may be lost
 		}
 	}
+	for _, number := range p.Kept {
+		b.refresh(now, key{p.From, number})
+	}
 	for _, number := range p.Begun {
 		b.begun(key{p.From, number})
 	}
@@ -119,14 +148,10 @@
 
 // refresh notes that a work is still in progress; it reports whether the work is known.
 func (b *Board) refresh(now clock.Millis, k key) bool {
-	known := false
-	for _, n := range b.nodes {
-		for _, j := range n.jobs {
-			if j.key == k {
-				j.heard = now
-				known = true
-			}
-		}
+	w := b.works[k]
+	if w == nil {
+		return false
 	}
-	return known
+	w.heard = now
+	return true
 }
--- a/internal/board/work.go
+++ b/internal/board/work.go
@@ -70,14 +70,19 @@
 	number uint64
 }
 
+// known is a work that an instance knows of, its own or another's.
+type known struct {
+	targets []string
+	heard   clock.Millis // when its instance last spoke of it
+}
+
 // job is a target's part in a work.
 type job struct {
 	key
 	work    Work
 	placed  clock.Millis
-	heard   clock.Millis // when its instance last spoke of it
-	reading float64      // milliseconds of reading that are left
-	tokens  int          // of this target's part
-	helper  bool         // it reads for another target
+	reading float64 // milliseconds of reading that are left
+	tokens  int     // of this target's part
+	helper  bool    // it reads for another target
 	begun   bool
 }
