board: Repeat all own work again, and keep the index of works

Kept: a work is found by its key, where each told work was looked for in all works at all engines: at 69 engines and 600 works that was about 400,000 comparisons a second on each instance.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -13,14 +13,11 @@
 )
 
 const (
-	flushPeriod   = 50 * clock.Millis(1)   // in which ends of works are gathered before they are told
-	repeatPeriod  = clock.Second           // between repeats of the numbers of all own work
-	repeatsWhole  = 4                      // of which one tells all of the work, not its numbers alone
-	silentTime    = 3500 * clock.Millis(1) // after which the work of an instance that says nothing is forgotten
-	doubtTime     = 2 * clock.Second       // within which live targets are listed again after an outage of the list
-	greetRepeats  = 4                      // in which all is told after other instances have come
-	packetNumbers = 200                    // numbers of works in a datagram
-	packetWorks   = 24                     // works in a datagram
+	flushPeriod  = 50 * clock.Millis(1)   // in which ends of works are gathered before they are told
+	repeatPeriod = clock.Second           // between repeats of all own work
+	silentTime   = 3500 * clock.Millis(1) // after which the work of an instance that says nothing is forgotten
+	doubtTime    = 2 * clock.Second       // within which live targets are listed again after an outage of the list
+	packetWorks  = 24                     // works in a datagram
 )
 
 // Board is one instance's picture of all targets. Its state belongs to the control loop.
@@ -42,7 +39,6 @@
 	pending    packet
 	greet      bool // there are other instances than before, which know nothing of own work
 	number     uint64
-	numbers    int // repeats of the numbers alone since all was told; below zero while all is to be told
 	news       news
 }
 
@@ -52,7 +48,6 @@
 	Placed  []Work   `cbor:"2,keyasint,omitempty"`
 	Begun   []uint64 `cbor:"3,keyasint,omitempty"`
 	Ended   []uint64 `cbor:"4,keyasint,omitempty"`
-	Kept    []uint64 `cbor:"5,keyasint,omitempty"` // works that are still in progress
 	Failed  []string `cbor:"6,keyasint,omitempty"`
 	Dark    []string `cbor:"7,keyasint,omitempty"` // targets that could not be reached
 	Reports []Report `cbor:"8,keyasint,omitempty"`
--- a/internal/board/tell.go
+++ b/internal/board/tell.go
@@ -9,7 +9,7 @@
 )
 
 func (p packet) empty() bool {
-	return len(p.Placed)+len(p.Begun)+len(p.Ended)+len(p.Kept)+len(p.Failed)+len(p.Dark)+len(p.Reports) == 0
+	return len(p.Placed)+len(p.Begun)+len(p.Ended)+len(p.Failed)+len(p.Dark)+len(p.Reports) == 0
 }
 
 // flush tells the others what has changed since the last time.
@@ -26,15 +26,12 @@
 	b.flush()
 	if b.greet {
 		b.greet = false
-		b.tellWhole(clock.Now())
+		b.tellOwn(clock.Now())
 	}
 }
 
-// Greet has all own work told soon and for a while, as other instances have come; it runs on the control loop.
-func (b *Board) Greet() {
-	b.greet = true
-	b.numbers = -greetRepeats
-}
+// Greet has all own work told soon, as other instances have come; it runs on the control loop.
+func (b *Board) Greet() { b.greet = true }
 
 func (b *Board) send(p packet) {
 	p.From = b.Self
@@ -46,15 +43,10 @@
 	b.Tell(data)
 }
 
-// repeat tells the others which own work is still in progress, and forgets that of instances that are silent.
+// repeat tells the others of all own work, and forgets that of instances that are silent.
 func (b *Board) repeat() {
 	now := clock.Now()
-	if b.numbers <= 0 {
-		b.tellWhole(now)
-	} else {
-		b.tellNumbers()
-	}
-	b.numbers = (b.numbers + 1) % repeatsWhole
+	b.tellOwn(now)
 	for id, n := range b.nodes {
 		if n.missing > 0 && now-n.missing > doubtTime {
 			slog.Info("target not listed again", "target", id)
@@ -71,8 +63,8 @@
 	}
 }
 
-// tellWhole tells all of the own work, for those that have missed a part of it.
-func (b *Board) tellWhole(now clock.Millis) {
+// tellOwn tells the others of all own work, for those that have missed a part of it.
+func (b *Board) tellOwn(now clock.Millis) {
 	var p packet
 	for number, w := range b.own {
 		told := *w
@@ -88,21 +80,6 @@
 	}
 }
 
-// tellNumbers tells which own work is in progress, for those that know it.
-func (b *Board) tellNumbers() {
-	var p packet
-	for number := range b.own {
-		p.Kept = append(p.Kept, number)
-		if len(p.Kept) == packetNumbers {
-			b.send(p)
-			p = packet{}
-		}
-	}
-	if !p.empty() {
-		b.send(p)
-	}
-}
-
 // Receive handles a datagram of another instance.
 func (b *Board) Receive(data []byte) {
 	var p packet
@@ -124,9 +101,6 @@
 			b.begun(k) // the datagram that said so may be lost
 		}
 	}
-	for _, number := range p.Kept {
-		b.refresh(now, key{p.From, number})
-	}
 	for _, number := range p.Begun {
 		b.begun(key{p.From, number})
 	}
