board: Split the choice by duty

Nothing but the places of declarations changed. Tests of the package three times with the race detector: passed.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -226,124 +225,6 @@
 	return p
 }
 
-// add counts a work at its targets.
-func (b *Board) add(now clock.Millis, k key, w Work) {
-	parts := 1 + len(w.Helpers)
-	targets := append([]string{w.Target}, w.Helpers...)
-	b.works[k] = &known{targets: targets, heard: now}
-	for i, id := range targets {
-		n := b.node(id)
-		n.advance(now)
-		j := &job{key: k, work: w, placed: now - w.Age, helper: i > 0, begun: w.Begun, tokens: w.Prompt / parts}
-		if i == 0 && parts > 1 {
-			j.tokens = w.Prompt - (parts-1)*(w.Prompt/parts)
-		}
-		if !w.Begun {
-			j.reading = max(0, n.engine.PartTime(w.Prompt, parts)-float64(w.Age))
-		}
-		n.jobs = append(n.jobs, j)
-	}
-}
-
-// begun notes that the first event of a work has come, so that its prompt is read.
-func (b *Board) begun(k key) {
-	w := b.works[k]
-	if w == nil {
-		return
-	}
-	now := clock.Now()
-	for _, id := range w.targets {
-		n := b.nodes[id]
-		if n == nil {
-			continue
-		}
-		for _, j := range n.jobs {
-			if j.key == k {
-				n.advance(now)
-				j.reading, j.begun, j.work.Begun = 0, true, true
-			}
-		}
-		if n.helps(k) && !n.keeps(k) {
-			n.remove(k)
-		}
-	}
-}
-
-func (n *node) helps(k key) bool {
-	return slices.ContainsFunc(n.jobs, func(j *job) bool { return j.key == k && j.helper })
-}
-
-// keeps reports whether the target keeps memory of a work that it helped to read.
-func (n *node) keeps(k key) bool {
-	return slices.ContainsFunc(n.jobs, func(j *job) bool { return j.key == k && j.work.Split })
-}
-
-// ended takes a work off its targets.
-func (b *Board) ended(k key) {
-	w := b.works[k]
-	if w == nil {
-		return
-	}
-	delete(b.works, k)
-	for _, id := range w.targets {
-		n := b.nodes[id]
-		if n == nil {
-			continue
-		}
-		n.remove(k)
-		if n.gone && len(n.jobs) == 0 {
-			delete(b.nodes, id)
-		}
-	}
-}
-
-// Begun tells that the first event has come.
-func (p *Placement) Begun() {
-	b := p.board
-	b.Loop.Post(func() {
-		if w := b.own[p.number]; w != nil {
-			w.Begun = true
-		}
-		b.begun(key{b.Self, p.number})
-		b.pending.Begun = append(b.pending.Begun, p.number)
-	})
-}
-
-// Outcome is how a target dealt with a request.
-type Outcome uint8
-
-// The outcomes.
-const (
-	Unjudged    Outcome = iota // the request ended for a reason that says nothing of the target
-	Good                       // it answered
-	Failed                     // it failed
-	Unreachable                // it could not be reached
-)
-
-// End takes the request off its targets.
-func (p *Placement) End(o Outcome) {
-	b := p.board
-	b.Loop.Post(func() {
-		delete(b.own, p.number)
-		took := clock.Now() - b.placed[p.number]
-		delete(b.placed, p.number)
-		delete(b.placements, p.number)
-		b.ended(key{b.Self, p.number})
-		b.pending.Ended = append(b.pending.Ended, p.number)
-		id := p.Target.ID
-		if n := b.nodes[id]; n != nil && o == Good {
-			n.took(took)
-		}
-		b.judge(id, o)
-		switch o {
-		case Failed:
-			b.pending.Failed = append(b.pending.Failed, id)
-		case Unreachable:
-			b.pending.Dark = append(b.pending.Dark, id)
-		}
-	})
-}
-
 func (b *Board) judge(id string, o Outcome) {
 	n := b.nodes[id]
 	if n == nil {
--- /dev/null
+++ b/internal/board/placement.go
@@ -0,0 +1,101 @@
+package board
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+)
+
+// Outcome is how a target dealt with a request.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Unjudged    Outcome = iota // the request ended for a reason that says nothing of the target
+	Good                       // it answered
+	Failed                     // it failed
+	Unreachable                // it could not be reached
+)
+
+// Placement is where a request runs.
+type Placement struct {
+	Target    Target
+	Helpers   []Target     // engines that read a part of the prompt
+	Memory    int          // tokens that each helper is to keep; zero if the first engine has the memory for all
+	Predicted clock.Millis // to the first event; zero for a plain service
+
+	board  *Board
+	number uint64
+	lost   chan struct{}
+	once   sync.Once
+}
+
+// HelperIDs returns the ids of the engines that read a part of the prompt.
+func (p *Placement) HelperIDs() []string {
+	ids := make([]string, len(p.Helpers))
+	for i, h := range p.Helpers {
+		ids[i] = h.ID
+	}
+	return ids
+}
+
+// HelperNamed returns the id of the helper with an id or address, or nothing.
+func (p *Placement) HelperNamed(name string) string {
+	for _, h := range p.Helpers {
+		if name != "" && (h.ID == name || h.Addr == name) {
+			return h.ID
+		}
+	}
+	return ""
+}
+
+// TicketID names the lease of memory at a helper, uniquely for each placement.
+func (p *Placement) TicketID(helper int) string {
+	return fmt.Sprintf("%s-%x-%d", p.board.Self, p.number, helper)
+}
+
+// Begun tells that the first event has come.
+func (p *Placement) Begun() {
+	b := p.board
+	b.Loop.Post(func() {
+		if w := b.own[p.number]; w != nil {
+			w.Begun = true
+		}
+		b.begun(key{b.Self, p.number})
+		b.pending.Begun = append(b.pending.Begun, p.number)
+	})
+}
+
+// End takes the request off its targets.
+func (p *Placement) End(o Outcome) {
+	b := p.board
+	b.Loop.Post(func() {
+		delete(b.own, p.number)
+		took := clock.Now() - b.placed[p.number]
+		delete(b.placed, p.number)
+		delete(b.placements, p.number)
+		b.ended(key{b.Self, p.number})
+		b.pending.Ended = append(b.pending.Ended, p.number)
+		id := p.Target.ID
+		if n := b.nodes[id]; n != nil && o == Good {
+			n.took(took)
+		}
+		b.judge(id, o)
+		switch o {
+		case Failed:
+			b.pending.Failed = append(b.pending.Failed, id)
+		case Unreachable:
+			b.pending.Dark = append(b.pending.Dark, id)
+		}
+	})
+}
+
+// Blame counts a failure against a helper.
+func (p *Placement) Blame(helper string) {
+	b := p.board
+	b.Loop.Post(func() {
+		b.judge(helper, Unreachable)
+		b.pending.Dark = append(b.pending.Dark, helper)
+	})
+}
--- a/internal/board/tell.go
+++ b/internal/board/tell.go
@@ -119,13 +119,3 @@
 		}
 	}
 }
-
-// refresh notes that a work is still in progress; it reports whether the work is known.
-func (b *Board) refresh(now clock.Millis, k key) bool {
-	w := b.works[k]
-	if w == nil {
-		return false
-	}
-	w.heard = now
-	return true
-}
