platform, stage: A fault soak with real processes

Four real processes on the platform's path, with stand-ins of the store and of workers behind links on loopback: kills, pauses, stops and reloads of each process; connections delayed, reset, silenced in one direction or both; workers that refuse, lose, cut, tear and cross answers; a store that refuses some or all; changes of the configuration. All in series that overlap, by a seed. Twelve callers keep their connections. What is checked, and what is not in it, stands in docs/PROOFS.md.

--- a/internal/proof/hush_test.go
+++ b/internal/proof/hush_test.go
@@ -13,12 +13,12 @@
 
 func TestHushedEngineConnections(t *testing.T) {
 	t.Parallel()
-	var proxies []*hushProxy
+	var proxies []*stage.Link
 	site := stage.Start(t, stage.Spec{
 		Entries: 2, Engines: 2, Config: siteConfig(),
 		TargetFor: func(_, addr string) string {
-			proxies = append(proxies, newHushProxy(t, addr))
-			return proxies[len(proxies)-1].addr()
+			proxies = append(proxies, stage.NewLink(t, addr))
+			return proxies[len(proxies)-1].Addr()
 		},
 	})
 	all := hushed(t, site, proxies)
@@ -30,11 +30,11 @@
 func TestHushedCallerConnections(t *testing.T) {
 	t.Parallel()
 	site := stage.Start(t, stage.Spec{Entries: 2, Engines: 2, Config: siteConfig()})
-	var proxies []*hushProxy
+	var proxies []*stage.Link
 	for _, e := range site.Entries {
-		p := newHushProxy(t, e.Addr)
+		p := stage.NewLink(t, e.Addr)
 		proxies = append(proxies, p)
-		e.Addr = p.addr()
+		e.Addr = p.Addr()
 	}
 	all := hushed(t, site, proxies)
 	all.checkWhole(t)
@@ -44,12 +44,12 @@
 
 func TestHushedStoreConnections(t *testing.T) {
 	t.Parallel()
-	var proxies []*hushProxy
+	var proxies []*stage.Link
 	site := stage.Start(t, stage.Spec{
 		Entries: 3, Plains: 1, Config: siteConfig(),
 		StoreFor: func(_ int, addr string) string {
-			proxies = append(proxies, newHushProxy(t, addr))
-			return proxies[len(proxies)-1].addr()
+			proxies = append(proxies, stage.NewLink(t, addr))
+			return proxies[len(proxies)-1].Addr()
 		},
 	})
 	ctx := testContext(t, time.Minute)
@@ -68,7 +68,7 @@
 }
 
 // hushed reads through the addresses of the entries while connections go silent.
-func hushed(t *testing.T, site *stage.Site, proxies []*hushProxy) *tally {
+func hushed(t *testing.T, site *stage.Site, proxies []*stage.Link) *tally {
 	t.Helper()
 	ctx := testContext(t, time.Minute)
 	var all tally
@@ -88,11 +88,11 @@
 	return &all
 }
 
-func hushRepeatedly(proxies []*hushProxy) {
+func hushRepeatedly(proxies []*stage.Link) {
 	for range 3 {
 		time.Sleep(900 * time.Millisecond)
 		for _, p := range proxies {
-			p.hush()
+			p.Hush()
 		}
 	}
 }
