--- a/internal/sweep/sweep.go
+++ b/internal/sweep/sweep.go
@@ -62,8 +62,8 @@
 // due reports whether the engine is to be told again. A confirmed release is told once more, since it may have overtaken
 // the prompt that it releases.
 func (p progress) due(now clock.Millis) bool {
-	if p.confirmed {
-		return now-p.asked >= overtakeTime
+	if p.confirmed && now-p.asked < overtakeTime {
+		return false
 	}
 	return now-p.tried > releasePeriod
 }
