ticket: A lease lasts three quarters of the time that memory may stay held

A lease lasted 4 s from the arrival of its last renewal, which is all of free_ms (4,000): a renewal in the last moment before the kill, and its way, broke the bound. Ruled out: a release that was not sent (the holder was dead), one that the worker did not answer.

Change: a lease lasts three quarters of the bound, which the settings name (`bounds.free_ms`, 4 s where they don't), and is renewed three and a half times in that time (each 0.86 s for 1.2 s before), so that as many renewals may get lost. Test: TestLeaseOfKilledHolder (fails before: 4 s where at most 3.2 s may be).

--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	holdTime     = 4 * clock.Second       // of a lease; short, as it may outlive its holder
-	renewPeriod  = 1200 * clock.Millis(1) // three renewals may get lost before a lease lapses
-	orderTimeout = 400 * clock.Millis(1)  // until an engine's answer is no longer waited for
+	defaultFree  = 4 * clock.Second      // for which memory may stay held without a request, where nothing is set
+	holdShare    = 0.75                  // of that time: a lease may outlive its holder, and be late on its way
+	renewals     = 3.5                   // in the time of a lease, so that some may get lost before it lapses
+	orderTimeout = 400 * clock.Millis(1) // until an engine's answer is no longer waited for
 	releaseTries = 8
 	releasePause = 300 * clock.Millis(1)
 )
@@ -31,6 +32,17 @@
 type Holder struct {
 	Reserve func(ctx context.Context, p Part, hold clock.Millis) error // asks for a lease, or renews it
 	Release func(ctx context.Context, p Part) error
+	// Free returns for how long memory may stay held after its request; nil or zero for the default.
+	Free func() clock.Millis
+}
+
+// hold returns how long a lease lasts.
+func (h *Holder) hold() clock.Millis {
+	free := defaultFree
+	if h.Free != nil && h.Free() > 0 {
+		free = h.Free()
+	}
+	return clock.Millis(holdShare * float64(free))
 }
 
 // Held is a set of leases.
@@ -48,7 +60,7 @@
 		group.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, orderTimeout.Duration())
 			defer cancel()
-			errs[i] = h.Reserve(ctx, p, holdTime)
+			errs[i] = h.Reserve(ctx, p, h.hold())
 		})
 	}
 	group.Wait()
@@ -69,7 +81,8 @@
 
 // renew keeps the leases until they are released.
 func (h *Held) renew(ctx context.Context) {
-	ticker := time.NewTicker(renewPeriod.Duration())
+	period := clock.Millis(float64(h.holder.hold()) / renewals)
+	ticker := time.NewTicker(period.Duration())
 	defer ticker.Stop()
 	for {
 		select {
@@ -86,7 +99,7 @@
 func (h *Held) renewPart(ctx context.Context, p Part) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout.Duration())
 	defer cancel()
-	if err := h.holder.Reserve(ctx, p, holdTime); err != nil && ctx.Err() == nil {
+	if err := h.holder.Reserve(ctx, p, h.holder.hold()); err != nil && ctx.Err() == nil {
 		metrics.GetOrCreateCounter(`pier_ticket_events_total{event="not_renewed"}`).Inc()
 		slog.Info("memory not renewed", "ticket", p.ID, "target", p.Target, "error", err.Error())
 	}
--- a/internal/ticket/ticket_test.go
+++ b/internal/ticket/ticket_test.go
@@ -61,7 +61,7 @@
 	held, err := e.holder().Take(context.Background(), parts)
 	is.NoErr(err)
 	is.Equal(e.count(), 2)
-	time.Sleep(renewPeriod.Duration() + 200*time.Millisecond)
+	time.Sleep(1100 * time.Millisecond)
 	e.mu.Lock()
 	is.Equal(e.calls, 4)
 	e.mu.Unlock()
@@ -79,3 +79,27 @@
 	time.Sleep(100 * time.Millisecond)
 	is.Equal(e.count(), 0)
 }
+
+// A holder that is killed right after a renewal leaves memory held for less than the time that it may stay without a
+// request, also if the renewal was late on its way; some renewals may get lost before a lease lapses.
+func TestLeaseOfKilledHolder(t *testing.T) {
+	is := is.New(t)
+	for _, free := range []clock.Millis{4 * clock.Second, 2 * clock.Second} {
+		holds := make(chan clock.Millis, 100)
+		h := &Holder{
+			Free: func() clock.Millis { return free },
+			Reserve: func(_ context.Context, _ Part, hold clock.Millis) error {
+				holds <- hold
+				return nil
+			},
+			Release: func(context.Context, Part) error { return nil },
+		}
+		held, err := h.Take(context.Background(), parts[:1])
+		is.NoErr(err)
+		hold := <-holds
+		is.True(hold <= free-free/5) // a fifth for the way
+		time.Sleep(hold.Duration())
+		is.True(len(holds) >= 3) // renewals within one lease
+		held.Release()
+	}
+}
