route: Let a home without a list wait, and count ejected engines in what could fit

Until its feeds have a configuration and a list, the sum of its engines' memory is zero and every prompt "never fits", which no caller repeats. The same held while its engines were ejected after failures.

Change: what could fit is judged by all listed engines, ejected ones too, and not at all while no list is known; such an ask waits, and what former homes have granted is learnt once engines are listed. Tests: TestLedgerBeforeList and TestLedgerWithEjectedEngines (both fail before), TestLedgerNeverFits.

--- a/internal/route/long.go
+++ b/internal/route/long.go
@@ -162,7 +162,7 @@
 		}
 		l.cells[key] = c
 	}
-	if !l.couldFit(c, p.ask) {
+	if l.neverFits(c, p.ask) {
 		p.done <- Grant{ID: p.ask.ID, Reason: wire.ReasonNeverFits}
 		return
 	}
@@ -214,13 +214,13 @@
 	return clock.Millis(float64(ahead) / perMilli)
 }
 
-// load learns from the engines what former homes have granted.
+// load learns from the engines what former homes have granted, once any are listed.
 func (l *Ledger) load(c *cell) {
-	if c.loading {
+	engines := l.engines(c, "", nil)
+	if c.loading || len(engines) == 0 {
 		return
 	}
 	c.loading = true
-	engines := l.engines(c, "", nil)
 	long := l.service(c).Long
 	go func() {
 		inherited := make(map[string]int)
@@ -247,7 +247,7 @@
 	now := clock.Now()
 	view := l.View()
 	for _, c := range l.cells {
-		if len(c.inherited) > 0 && !c.loading {
+		if (!c.ready || len(c.inherited) > 0) && !c.loading {
 			l.load(c)
 		}
 		for id, g := range c.grants {
--- /dev/null
+++ b/internal/route/long_test.go
@@ -0,0 +1,60 @@
+package route
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/pkg/wire"
+)
+
+func longAsk(tokens int) Ask {
+	return Ask{ID: "long", Owner: "entry-0/1", Service: "models", Tokens: tokens, Output: 100, Deadline: clock.Now() + 5*clock.Second}
+}
+
+// A home that has no list of targets yet does not say that a prompt never fits; it grants once it has the list.
+func TestLedgerBeforeList(t *testing.T) {
+	is := is.New(t)
+	table, ledger := newTable(t, 0)
+	granted := make(chan Grant, 1)
+	go func() {
+		g, err := ledger.Reserve(context.Background(), longAsk(100_000))
+		if err != nil {
+			t.Error(err)
+		}
+		granted <- g
+	}()
+	time.Sleep(50 * time.Millisecond)
+	table.Replace(rosterOf(2))
+	g := <-granted
+	is.Equal(g.Reason, wire.Reason(""))
+	is.Equal(len(g.Parts), 1)
+}
+
+// Engines that are ejected after failures still count for what could fit once they are back.
+func TestLedgerWithEjectedEngines(t *testing.T) {
+	is := is.New(t)
+	table, ledger := newTable(t, 2)
+	table.Loop.Call(func() {
+		for _, n := range table.nodes {
+			n.ejected = clock.Now() + 300*clock.Millis(1)
+		}
+	})
+	g, err := ledger.Reserve(context.Background(), longAsk(100_000))
+	is.NoErr(err)
+	is.Equal(g.Reason, wire.Reason(""))
+}
+
+// A prompt larger than all engines together is refused at once.
+func TestLedgerNeverFits(t *testing.T) {
+	is := is.New(t)
+	_, ledger := newTable(t, 2)
+	start := clock.Now()
+	g, err := ledger.Reserve(context.Background(), longAsk(500_000))
+	is.NoErr(err)
+	is.Equal(g.Reason, wire.ReasonNeverFits)
+	is.True(clock.Now()-start < clock.Second)
+}
--- a/internal/route/plan.go
+++ b/internal/route/plan.go
@@ -71,24 +71,35 @@
 	return nil
 }
 
-func (l *Ledger) couldFit(c *cell, a Ask) bool {
+// neverFits reports whether the listed engines are too small for a prompt, also those that are ejected for now. An
+// instance that has just started knows neither list nor service yet, and cannot tell.
+func (l *Ledger) neverFits(c *cell, a Ask) bool {
 	service := l.service(c)
+	engines := l.matching(c, func(n *node) bool { return n.offered(Request{Model: a.Model}) })
+	if len(engines) == 0 || service.Name == "" {
+		return false
+	}
 	total := 0
-	for _, n := range l.engines(c, a.Model, nil) {
+	for _, n := range engines {
 		total += longRoom(service, n)
 	}
-	return a.Tokens <= total
+	return a.Tokens > total
 }
 
+// engines returns the engines of a cell that a prompt may be placed on now.
 func (l *Ledger) engines(c *cell, model string, exclude []string) []*node {
 	now := clock.Now()
 	excluded := make(map[string]bool, len(exclude))
 	for _, id := range exclude {
 		excluded[id] = true
 	}
+	return l.matching(c, func(n *node) bool { return n.usable(now, Request{Model: model, Exclude: excluded}) })
+}
+
+func (l *Ledger) matching(c *cell, matches func(*node) bool) []*node {
 	var all []*node
 	for _, n := range l.Table.nodes {
-		if n.Service == c.service && n.usable(now, Request{Model: model, Exclude: excluded}) {
+		if n.Service == c.service && matches(n) {
 			all = append(all, n)
 		}
 	}
