model, board: Follow each engine through its passes

Cause: predictions took a prompt beside answers to wait half a pass, and what was unread to shrink evenly. Ruled out: news between instances (the requests before it were known), the way to the engine (2 ms).

Change: model.Schedule keeps the current pass of each engine and what is in it; a first event, which instances tell with its age, says when a pass has ended. Forecasts with and without a further prompt give its first event, the longest pass, and what others lose. TestSlowEngine places one prompt at a time: twelve at one moment on two engines make each other late, so that the slow one was right for the last.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -45,7 +45,7 @@
 type packet struct {
 	From    string   `cbor:"1,keyasint"`
 	Placed  []Work   `cbor:"2,keyasint,omitempty"`
-	Begun   []uint64 `cbor:"3,keyasint,omitempty"`
+	Begun   []begin  `cbor:"3,keyasint,omitempty"`
 	Ended   []uint64 `cbor:"4,keyasint,omitempty"`
 	Failed  []string `cbor:"6,keyasint,omitempty"`
 	Dark    []string `cbor:"7,keyasint,omitempty"` // targets that could not be reached
@@ -118,14 +118,14 @@
 }
 
 func (n *node) list(t Target, e model.Engine) {
-	n.Target, n.engine, n.gone, n.missing = t, e, false, 0
+	n.Target, n.passes.Engine, n.gone, n.missing = t, e, false, 0
 }
 
 // node returns what is known of a target, which may be known from other instances only.
 func (b *Board) node(id string) *node {
 	n := b.nodes[id]
 	if n == nil {
-		n = &node{gone: true, moved: clock.Now(), decayed: clock.Now()}
+		n = &node{gone: true, decayed: clock.Now()}
 		n.Target.ID = id
 		b.nodes[id] = n
 	}
@@ -152,7 +152,7 @@
 	var chosen pick
 	if isEngine && need.Prompt > 0 {
 		for _, n := range nodes {
-			n.engine = engine
+			n.passes.Engine = engine
 		}
 		if most := engine.Memory * min(len(nodes), maxParts); most > 0 && need.Prompt+need.Output > most {
 			return nil, &Error{Op: "place", Kind: TooLarge}
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -47,6 +47,7 @@
 func chooseEngine(now clock.Millis, need Need, nodes []*node, choices int) pick {
 	for _, n := range nodes {
 		n.advance(now)
+		n.now = n.passes.Forecast(nil)
 	}
 	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
 	best := pick{}
@@ -57,7 +58,7 @@
 		most = min(maxParts, max(most, need.fewestParts(nodes)), len(nodes))
 	}
 	for parts := 1; parts <= most; parts++ {
-		if parts > 1 && whole && nodes[0].engine.ReadTime(need.Prompt) < spreadAbove*aim {
+		if parts > 1 && whole && nodes[0].passes.Engine.ReadTime(need.Prompt) < spreadAbove*aim {
 			break
 		}
 		p := chooseParts(now, need, nodes, parts, !whole, choices)
@@ -70,7 +71,7 @@
 
 // fewestParts returns into how many parts a prompt must be split for engines without other requests to hold them.
 func (n Need) fewestParts(nodes []*node) int {
-	limit := int(memoryShare * float64(nodes[0].engine.Memory))
+	limit := int(memoryShare * float64(nodes[0].passes.Engine.Memory))
 	return (n.Prompt+n.Output)/max(limit-n.Output, 1) + 1
 }
 
@@ -140,11 +141,11 @@
 // weigh returns what it costs that an engine reads one of several equal parts.
 func (n *node) weigh(now clock.Millis, need Need, parts int, helper bool) role {
 	r := role{node: n}
-	part := n.engine.PartTime(need.Prompt, parts)
-	tokens := need.Prompt / parts
-	r.read = n.predictRead(part, tokens, parts, helper)
-	r.predicted = r.read + n.predictWrite(tokens, parts)
-	r.delayed = n.harm(now, part, tokens, helper)
+	task := n.passes.Engine.NewTask(need.Prompt, parts, need.Prompt/parts, helper)
+	after := n.passes.Forecast(task)
+	r.read = after.Read[len(after.Read)-1] + n.slotTime(helper)
+	r.predicted = r.read + n.firstEvent(after, task, parts)
+	r.delayed = n.harm(now, n.now, after)
 	r.cost = need.loss(r.predicted) + n.risk(now)*need.value()
 	for _, lost := range r.delayed {
 		r.cost += lost
@@ -177,6 +178,6 @@
 
 // fits reports whether an engine has the memory for some more tokens.
 func (n *node) fits(tokens int) bool {
-	limit := memoryShare * float64(n.engine.Memory)
+	limit := memoryShare * float64(n.passes.Engine.Memory)
 	return limit == 0 || tokens == 0 || float64(n.held()+tokens) <= limit
 }
--- a/internal/board/node.go
+++ b/internal/board/node.go
@@ -19,9 +19,8 @@
 type node struct {
 	Target
 	jobs     []*job
-	moved    clock.Millis // up to which reading is accounted for
-	faults   float64      // decaying
-	good     float64      // decaying
+	faults   float64 // decaying
+	good     float64 // decaying
 	decayed  clock.Millis
 	ejected  clock.Millis // until
 	ejects   int
@@ -32,7 +31,8 @@
 	paced    clock.Millis // when it reported that
 	answer   float64      // milliseconds that its answers take, smoothed
 	answered clock.Millis // when the last one came
-	engine   model.Engine
+	passes   model.Schedule
+	now      model.Forecast // without the request that is being placed
 }
 
 func (n *node) usable(now clock.Millis) bool { return !n.gone && !n.Draining && now >= n.ejected }
@@ -62,53 +62,22 @@
 	return n.answer
 }
 
-// advance accounts for the reading that was done since the last call.
+// advance accounts for the time up to now.
 func (n *node) advance(now clock.Millis) {
-	elapsed := float64(now-n.moved) / n.slowness()
-	n.moved = now
-	if elapsed <= 0 {
-		return
-	}
-	writers, context, _, _ := n.load()
-	if writers > 0 && n.engine.ReadRate > 0 {
-		step := n.engine.WriteTime(writers, context) / float64(max(n.engine.Stride, 1))
-		read := float64(n.engine.Chunk) / n.engine.ReadRate
-		elapsed *= read / (read + step)
-	}
-	for _, j := range n.unread() {
-		done := min(j.reading, elapsed)
-		j.reading -= done
-		elapsed -= done
-	}
-}
-
-// unread returns what is left to read in the order in which an engine reads it: helpers' parts first, the newest of
-// them before all, then its own prompts as they came.
-func (n *node) unread() []*job {
-	var parts, own []*job
-	for _, j := range n.jobs {
-		switch {
-		case j.reading <= 0:
-		case j.helper:
-			parts = append(parts, j)
-		default:
-			own = append(own, j)
-		}
-	}
-	slices.Reverse(parts)
-	return append(parts, own...)
+	n.passes.Slow = n.slowness()
+	n.passes.Advance(float64(now))
 }
 
 // load returns the answers being written, their context, and what is left to read, in milliseconds and tokens.
 func (n *node) load() (writers, context int, backlog float64, tokens int) {
 	for _, j := range n.jobs {
 		switch {
-		case j.reading > 0:
-			backlog += j.reading
-			tokens += j.tokens
-		case !j.helper:
+		case j.task.Left > 0:
+			backlog += j.task.Left
+			tokens += j.task.Tokens
+		case !j.helps():
 			writers++
-			context += j.tokens
+			context += j.task.Tokens
 		}
 	}
 	return writers, context, backlog, tokens
@@ -118,7 +87,7 @@
 func (n *node) running() int {
 	count := 0
 	for _, j := range n.jobs {
-		if !j.helper {
+		if !j.helps() {
 			count++
 		}
 	}
@@ -129,13 +98,18 @@
 func (n *node) held() int {
 	tokens := 0
 	for _, j := range n.jobs {
-		tokens += j.work.memory(j.helper)
+		tokens += j.work.memory(j.helps())
 	}
 	return tokens
 }
 
 func (n *node) remove(k key) {
-	n.jobs = slices.DeleteFunc(n.jobs, func(j *job) bool { return j.key == k })
+	n.jobs = slices.DeleteFunc(n.jobs, func(j *job) bool {
+		if j.key == k {
+			n.passes.Remove(j.task)
+		}
+		return j.key == k
+	})
 }
 
 func (n *node) decay(now clock.Millis) {
--- a/internal/board/placement.go
+++ b/internal/board/placement.go
@@ -58,12 +58,13 @@
 // Begun tells that the first event has come.
 func (p *Placement) Begun() {
 	b := p.board
+	at := clock.Now()
 	b.Loop.Post(func() {
 		if w := b.own[p.number]; w != nil {
 			w.Begun = true
 		}
-		b.begun(key{b.Self, p.number})
-		b.pending.Begun = append(b.pending.Begun, p.number)
+		b.begun(key{b.Self, p.number}, at)
+		b.pending.Begun = append(b.pending.Begun, begin{Number: p.number, Age: at}) // its age is taken when it is told
 	})
 }
 
--- a/internal/board/predict.go
+++ b/internal/board/predict.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/model"
 )
 
 // How the value of a request is lost.
@@ -18,84 +19,59 @@
 	minPatience = 2 * clock.Second
 )
 
-// predictRead returns how long it takes until one of several parts of a further prompt is read, in milliseconds. A helper's
-// part is read before all that waits, and takes no slot.
-func (n *node) predictRead(part float64, tokens, parts int, helper bool) float64 {
-	writers, context, backlog, unread := n.load()
-	e := n.engine
-	if helper {
-		backlog, unread = 0, 0
-	}
-	total := backlog + part
-	if over := n.running() - n.slots(); over >= 0 && !helper {
-		total += float64(over+1) * n.slotTime(writers, context)
-	}
-	if writers == 0 {
-		return total * n.slowness()
-	}
-	// The latest of several engines counts, each of which is in the middle of a pass.
-	current := e.PassTime(writers, context, backlog, unread) * float64(parts) / float64(parts+1)
-	passes := 0.0
-	if most := e.PassTokens(); most > 0 {
-		passes = float64((unread + tokens) / most)
-	}
-	return (current + total + passes*e.WriteTime(writers, context)) * n.slowness()
-}
-
-// predictWrite returns how long it takes from the end of reading until the first event. Where other engines read as well,
-// the first one is in the middle of a pass by then.
-func (n *node) predictWrite(tokens, parts int) float64 {
-	writers, context, _, _ := n.load()
-	if writers == 0 {
-		return n.engine.StepTime * n.slowness()
-	}
-	write := n.engine.WriteTime(writers+1, context+tokens)
-	if parts > 1 {
-		write += n.engine.WriteTime(writers, context) / 2
+// firstEvent returns how long it takes from the end of reading until the first event. Beside answers it comes with the end
+// of the pass that reads; where other engines read as well, the first one is in the middle of a pass by then.
+func (n *node) firstEvent(f model.Forecast, t *model.Task, parts int) float64 {
+	switch {
+	case !f.Writes:
+		return n.passes.Engine.StepTime * n.slowness()
+	case parts == 1:
+		return 0
+	default:
+		writers, context, _, _ := n.load()
+		return 1.5 * n.passes.Engine.WriteTime(writers+1, context+t.Tokens) * n.slowness()
 	}
-	return write * n.slowness()
 }
 
 func (n *node) slots() int {
-	if n.engine.Slots > 0 {
-		return n.engine.Slots
+	if n.passes.Engine.Slots > 0 {
+		return n.passes.Engine.Slots
 	}
 	return max(n.Slots, 1)
 }
 
-// slotTime estimates how long it takes until an answer ends when all slots are taken.
-func (n *node) slotTime(writers, context int) float64 {
+// slotTime estimates how long a request waits for a slot, if all are taken.
+func (n *node) slotTime(helper bool) float64 {
+	over := n.running() - n.slots()
+	if over < 0 || helper {
+		return 0
+	}
 	left := 0.0
 	for _, j := range n.jobs {
-		if !j.helper {
-			left += float64(j.work.Output) / float64(max(n.engine.Stride, 1))
+		if !j.helps() {
+			left += float64(j.work.Output) / float64(max(n.passes.Engine.Stride, 1))
 		}
 	}
+	writers, context, _, _ := n.load()
 	passes := left / 2 / float64(max(n.running(), 1))
-	return passes * n.engine.WriteTime(max(writers, 1), context) / float64(n.slots())
+	each := passes * n.passes.Engine.WriteTime(max(writers, 1), context) / float64(n.slots())
+	return float64(over+1) * each * n.slowness()
 }
 
-// harm returns the value that others on an engine lose when it reads a further part, by work.
-func (n *node) harm(now clock.Millis, part float64, tokens int, helper bool) map[key]float64 {
-	writers, context, backlog, unread := n.load()
-	before := n.engine.PassTime(writers, context, backlog, unread) * n.slowness()
-	after := n.engine.PassTime(writers, context, backlog+part, unread+tokens) * n.slowness()
+// harm returns the value that others on an engine lose, by work, when it goes as forecast after a further task and not as
+// before.
+func (n *node) harm(now clock.Millis, before, after model.Forecast) map[key]float64 {
 	delayed := make(map[key]float64)
-	for _, j := range n.jobs {
-		if j.reading <= 0 && !j.helper {
-			delayed[j.key] = (late(after, j.work.Pause) - late(before, j.work.Pause)) * j.work.value()
+	for i, j := range n.jobs {
+		value := j.work.value()
+		switch {
+		case j.task.Left > 0:
+			age := float64(now - j.placed)
+			delayed[j.key] += loss(age+after.Read[i], j.work.Aim, value) - loss(age+before.Read[i], j.work.Aim, value)
+		case !j.helps():
+			delayed[j.key] += (late(after.Longest, j.work.Pause) - late(before.Longest, j.work.Pause)) * value
 		}
 	}
-	if !helper {
-		return delayed
-	}
-	done := 0.0
-	for _, j := range n.unread() {
-		done += j.reading
-		at := float64(now-j.placed) + done*n.slowness()
-		lost := loss(at+part*n.slowness(), j.work.Aim, j.work.value()) - loss(at, j.work.Aim, j.work.value())
-		delayed[j.key] = lost
-	}
 	return delayed
 }
 
--- a/internal/board/progress.go
+++ b/internal/board/progress.go
@@ -14,19 +14,22 @@
 	for i, id := range targets {
 		n := b.node(id)
 		n.advance(now)
-		j := &job{key: k, work: w, placed: now - w.Age, helper: i > 0, begun: w.Begun, tokens: w.Prompt / parts}
-		if i == 0 && parts > 1 {
-			j.tokens = w.Prompt - (parts-1)*(w.Prompt/parts)
+		tokens := w.Prompt / parts
+		if i == 0 {
+			tokens = w.Prompt - (parts-1)*tokens
 		}
-		if !w.Begun {
-			j.reading = max(0, n.engine.PartTime(w.Prompt, parts)-float64(w.Age))
+		task := n.passes.Engine.NewTask(w.Prompt, parts, tokens, i > 0)
+		task.Left = max(0, task.Left-float64(w.Age))
+		if w.Begun {
+			task.Left = 0
 		}
-		n.jobs = append(n.jobs, j)
+		n.passes.Add(float64(now), task)
+		n.jobs = append(n.jobs, &job{key: k, work: w, placed: now - w.Age, task: task})
 	}
 }
 
-// begun notes that the first event of a work has come, so that its prompt is read.
-func (b *Board) begun(k key) {
+// begun notes that the first event of a work came at a point in time, so that its prompt is read.
+func (b *Board) begun(k key, at clock.Millis) {
 	w := b.works[k]
 	if w == nil {
 		return
@@ -38,10 +41,16 @@
 			continue
 		}
 		for _, j := range n.jobs {
-			if j.key == k {
-				n.advance(now)
-				j.reading, j.begun, j.work.Begun = 0, true, true
+			if j.key != k || j.work.Begun {
+				continue
 			}
+			n.advance(now)
+			if len(w.targets) == 1 && at > 0 {
+				n.passes.Seen(j.task, float64(at))
+			} else {
+				n.passes.Done(j.task)
+			}
+			j.work.Begun = true
 		}
 		if n.helps(k) && !n.keeps(k) {
 			n.remove(k)
@@ -50,7 +59,7 @@
 }
 
 func (n *node) helps(k key) bool {
-	return slices.ContainsFunc(n.jobs, func(j *job) bool { return j.key == k && j.helper })
+	return slices.ContainsFunc(n.jobs, func(j *job) bool { return j.key == k && j.helps() })
 }
 
 // keeps reports whether the target keeps memory of a work that it helped to read.
--- a/internal/board/report_test.go
+++ b/internal/board/report_test.go
@@ -29,6 +29,7 @@
 	settle(boards)
 	for range 12 {
 		is.True(place(t, boards[1], short).Target.ID != "engine-1")
+		settle(boards)
 	}
 }
 
--- a/internal/board/tell.go
+++ b/internal/board/tell.go
@@ -17,6 +17,10 @@
 	if b.pending.empty() {
 		return
 	}
+	now := clock.Now()
+	for i := range b.pending.Begun {
+		b.pending.Begun[i].Age = now - b.pending.Begun[i].Age
+	}
 	b.send(b.pending)
 	b.pending = packet{}
 }
@@ -98,11 +102,11 @@
 			b.add(now, k, w)
 			b.news.add(now)
 		case w.Begun:
-			b.begun(k) // the datagram that said so may be lost
+			b.begun(k, 0) // the datagram that said so may be lost
 		}
 	}
-	for _, number := range p.Begun {
-		b.begun(key{p.From, number})
+	for _, began := range p.Begun {
+		b.begun(key{p.From, began.Number}, now-began.Age)
 	}
 	for _, number := range p.Ended {
 		b.ended(key{p.From, number})
--- a/internal/board/work.go
+++ b/internal/board/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/model"
 )
 
 // outputWeight is how many prompt tokens a generated token weighs in the value of a request.
@@ -70,6 +71,13 @@
 	number uint64
 }
 
+// begin says that the first event of a work has come.
+type begin struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64
+	Age    clock.Millis // since it came
+}
+
 // known is a work that an instance knows of, its own or another's.
 type known struct {
 	targets []string
@@ -79,10 +87,10 @@
 // job is a target's part in a work.
 type job struct {
 	key
-	work    Work
-	placed  clock.Millis
-	reading float64 // milliseconds of reading that are left
-	tokens  int     // of this target's part
-	helper  bool    // it reads for another target
-	begun   bool
+	work   Work
+	placed clock.Millis
+	task   *model.Task // on an engine
 }
+
+// helps reports whether the target reads for another one.
+func (j *job) helps() bool { return j.task.Helper }
--- /dev/null
+++ b/internal/model/schedule_test.go
@@ -0,0 +1,104 @@
+package model
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// newSchedule returns an engine that has been writing some answers since 0.
+func newSchedule(writers int) *Schedule {
+	s := &Schedule{Engine: sheet}
+	for range writers {
+		t := sheet.NewTask(5000, 1, 5000, false)
+		t.Left = 0
+		s.Add(0, t)
+	}
+	return s
+}
+
+func near(t *testing.T, got, want float64) {
+	t.Helper()
+	if got < want-2 || got > want+2 {
+		t.Errorf("%.1f ms, not %.1f ms", got, want)
+	}
+}
+
+// What comes in the middle of a pass is read in the next one, together with all else that came by then.
+func TestSchedulePasses(t *testing.T) {
+	s := newSchedule(2)
+	pass := sheet.WriteTime(2, 10_000)
+	first, second := sheet.NewTask(5000, 1, 5000, false), sheet.NewTask(10_000, 1, 10_000, false)
+	s.Add(10, first)
+	s.Add(20, second)
+	read := first.Total + second.Total
+	near(t, s.Forecast(nil).Read[3], pass-20+pass+read)
+	s.Advance(pass + pass + read - 1)
+	is.New(t).True(first.Left > 0)
+	s.Advance(pass + pass + read + 1)
+	is.New(t).Equal(first.Left+second.Left, 0.0)
+}
+
+// Without answers an engine reads on: helpers' parts first, the newest of them before all, then its own as they came.
+func TestScheduleOrder(t *testing.T) {
+	s := &Schedule{Engine: sheet}
+	own, old, recent := sheet.NewTask(50_000, 1, 50_000, false), sheet.NewTask(60_000, 2, 30_000, true), sheet.NewTask(80_000, 4, 20_000, true)
+	s.Add(0, own)
+	s.Add(100, old)
+	s.Add(120, recent)
+	read := s.Forecast(nil).Read
+	near(t, read[2], recent.Total)
+	near(t, read[1], recent.Total+old.Total-20)
+	near(t, read[0], own.Total-100+recent.Total+old.Total-20)
+}
+
+// Beside answers a long prompt is read over several passes, of which each is as long as it may be.
+func TestScheduleLong(t *testing.T) {
+	is := is.New(t)
+	s := newSchedule(1)
+	f := s.Forecast(sheet.NewTask(182_000, 1, 182_000, false))
+	near(t, f.Read[1], 4*sheet.WriteTime(1, 5000)+sheet.ReadTime(182_000)) // the one in progress and three that read
+	is.True(f.Longest > 1400 && f.Longest < 1600)
+	is.True(f.Writes)
+}
+
+// A first event tells when a pass has ended, sooner or later than it was taken to.
+func TestScheduleSeen(t *testing.T) {
+	s := newSchedule(1)
+	pass := sheet.WriteTime(1, 5000)
+	task := sheet.NewTask(5000, 1, 5000, false)
+	s.Add(10, task)
+	ends := 2*pass + task.Total
+	s.Advance(ends + 30)
+	s.Seen(task, ends+20)
+	near(t, s.Forecast(sheet.NewTask(0, 1, 0, false)).Read[2], 0) // nothing to read
+	near(t, s.Forecast(sheet.NewTask(1540, 1, 1540, false)).Read[2], pass-10+pass+10)
+
+	sooner := sheet.NewTask(5000, 1, 5000, false)
+	s.Add(ends+40, sooner)
+	s.Advance(ends + 20 + pass + 40)
+	s.Seen(sooner, ends+20+pass+30)
+	near(t, s.Forecast(sheet.NewTask(1540, 1, 1540, false)).Read[3], pass-10+pass+10)
+}
+
+// Without a known speed there are no passes, and the time until the speed is known is not made up for.
+func TestScheduleUnknownEngine(t *testing.T) {
+	s := &Schedule{}
+	s.Add(1e12, Engine{}.NewTask(0, 1, 0, false))
+	s.Engine = sheet
+	started := time.Now()
+	s.Advance(1e12 + 100)
+	is.New(t).True(time.Since(started) < time.Second)
+}
+
+func BenchmarkForecast(b *testing.B) {
+	s := newSchedule(12)
+	for i := range 8 {
+		s.Add(10, sheet.NewTask(5000*(1+i%3), 1+i%2, 5000, i%2 == 1))
+	}
+	s.Add(10, sheet.NewTask(182_000, 1, 182_000, false))
+	for b.Loop() {
+		s.Forecast(sheet.NewTask(45_000, 1, 45_000, false))
+	}
+}
