board: Keep answers with short pauses together, so that long reads find engines

A long read then finds no engine whose long passes disturb nobody, and is split into parts of 150 ms over up to 14 engines, or refused as costly. Ruled out: a lack of engines (a third of their time would do at that crest).

Change: an answer that is the first on its engine to bear only short passes costs a token of value for each millisecond that it takes.

--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -21,6 +21,7 @@
 	idleBacklog = 300 * clock.Millis(1)  // unread at each engine on average, up to which their time costs nothing
 	fullBacklog = 1500 * clock.Millis(1) // at which it costs the most
 	timePrice   = 20.0                   // value of a millisecond of a loaded engine, in tokens
+	calmPrice   = 1.0                    // value of a millisecond of an engine without answers that bear no long pass, in tokens
 )
 
 // price returns what a millisecond of the engines' time is worth to others, by how much waits to be read.
@@ -147,6 +148,9 @@
 	r.predicted = r.read + n.firstEvent(after, task, parts)
 	r.delayed = n.harm(now, n.now, after)
 	r.cost = need.loss(r.predicted) + n.risk(now)*need.value()
+	if !helper {
+		r.cost += calmPrice * n.tightens(need)
+	}
 	for _, lost := range r.delayed {
 		r.cost += lost
 	}
--- a/internal/board/predict.go
+++ b/internal/board/predict.go
@@ -58,6 +58,27 @@
 	return float64(over+1) * each * n.slowness()
 }
 
+// tightens returns for how long an answer keeps an engine from long passes that could have them without it. Answers with
+// short pauses are better kept together, so that other engines can read long prompts.
+func (n *node) tightens(need Need) float64 {
+	if need.Pause <= 0 {
+		return 0
+	}
+	writers, context := 1, need.Prompt
+	for _, j := range n.jobs {
+		if j.helps() {
+			continue
+		}
+		if j.work.Pause > 0 && j.work.Pause <= need.Pause {
+			return 0
+		}
+		writers++
+		context += j.task.Tokens
+	}
+	passes := float64(need.Output) / float64(max(n.passes.Engine.Stride, 1))
+	return passes * n.passes.Engine.WriteTime(writers, context)
+}
+
 // harm returns the value that others on an engine lose, by work, when it goes as forecast after a further task and not as
 // before.
 func (n *node) harm(now clock.Millis, before, after model.Forecast) map[key]float64 {
