--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -145,7 +145,7 @@
 	task := n.passes.Engine.NewTask(need.Prompt, parts, need.Prompt/parts, helper)
 	after := n.passes.Forecast(task)
 	r.read = after.Read[len(after.Read)-1] + n.slotTime(helper)
-	r.predicted = r.read + n.firstEvent(after, task, parts)
+	r.predicted = r.read + n.firstEvent(after)
 	r.delayed = n.harm(now, n.now, after)
 	r.cost = need.loss(r.predicted) + n.risk(now)*need.value()
 	if !helper {
--- a/internal/board/predict.go
+++ b/internal/board/predict.go
@@ -9,7 +9,7 @@
 const (
 	lateShare   = 0.75 // of a request's value that is lost when it is late
 	lostShare   = 0.25 // that is lost in addition when the caller gives up
-	slopeShare  = 0.1  // of the value when the first event takes all of its aim, so that of two in time the sooner is chosen
+	slopeShare  = 0.25  // of the value when the first event takes all of its aim, so that of two in time the sooner is chosen
 	lateSlope   = 0.01 // the same for each further aim
 	soonEdge    = 0.75 // of an aim: predictions above it begin to count as late
 	lateEdge    = 1.15 // of an aim: predictions above it count as late for certain
@@ -20,17 +20,12 @@
 )
 
 // firstEvent returns how long it takes from the end of reading until the first event. Beside answers it comes with the end
-// of the pass that reads; where other engines read as well, the first one is in the middle of a pass by then.
-func (n *node) firstEvent(f model.Forecast, t *model.Task, parts int) float64 {
-	switch {
-	case !f.Writes:
-		return n.passes.Engine.StepTime * n.slowness()
-	case parts == 1:
+// of the pass that reads.
+func (n *node) firstEvent(f model.Forecast) float64 {
+	if f.Writes {
 		return 0
-	default:
-		writers, context, _, _ := n.load()
-		return 1.5 * n.passes.Engine.WriteTime(writers+1, context+t.Tokens) * n.slowness()
 	}
+	return n.passes.Engine.StepTime * n.slowness()
 }
 
 func (n *node) slots() int {
