--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -158,9 +158,6 @@
 			return nil, &Error{Op: "place", Kind: TooLarge}
 		}
 		chosen = chooseEngine(now, need, nodes, b.choices(now, len(nodes)))
-		if wait := hold(need, nodes, chosen); wait > 0 {
-			return nil, &Error{Op: "place", Kind: Busy, Wait: wait}
-		}
 		if chosen.first != nil && chosen.cost+price(nodes)*engine.ReadTime(need.Prompt) > need.value() {
 			return nil, &Error{Op: "place", Kind: Costly}
 		}
--- a/internal/board/error.go
+++ b/internal/board/error.go
@@ -1,7 +1,5 @@
 package board
 
-import "github.com/corianderpier/corianderpier/internal/clock"
-
 // Kind classifies why a request has no place.
 type Kind string
 
@@ -11,7 +9,6 @@
 	TooLarge Kind = "too large" // no engine has the memory
 	Full     Kind = "full"      // the answer could not begin before the deadline
 	Costly   Kind = "costly"    // it would take more from others than it is worth
-	Busy     Kind = "busy"      // its engines are soon free; it is to be placed again after a wait
 	Stopped  Kind = "stopped"   // the instance ends
 )
 
@@ -19,7 +16,6 @@
 type Error struct {
 	Op   string
 	Kind Kind
-	Wait clock.Millis // until it is to be placed again, if it is Busy
 }
 
 func (e *Error) Error() string { return e.Op + ": " + string(e.Kind) }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -62,7 +62,6 @@
 	helpers []string     // targets that read a part
 	heard   atomic.Int64 // when the last event came, or the attempt began, milliseconds
 	pause   clock.Millis // longest between events
-	waited  clock.Millis // for engines to be free, before the request was sent
 }
 
 // Serve answers a request.
@@ -90,7 +89,7 @@
 	metrics.GetOrCreateHistogram(`pier_relay_seconds{service="` + s.Service + `"}`).Update(float64(took) / 1000)
 	slog.Info("request", "request", s.ID, "service", s.Service, "customer", s.Customer, "config", s.Version,
 		"outcome", outcome, "target", s.target, "helpers", s.helpers, "sent", s.sent, "unreachable", s.dials,
-		"prompt", s.Prompt, "waited_ms", int64(s.waited), "predicted_ms", int64(s.wanted), "first_ms", int64(s.first), "aim_ms", int64(s.Aim),
+		"prompt", s.Prompt, "predicted_ms", int64(s.wanted), "first_ms", int64(s.first), "aim_ms", int64(s.Aim),
 		"events", s.events, "pause_ms", int64(s.pause), "pause_aim_ms", int64(s.Pause),
 		"left_ms", int64(s.Deadline-clock.Now()), "took_ms", int64(took))
 }
@@ -101,7 +100,7 @@
 		if s.end()-clock.Now() < minLeft {
 			return s.timeUp()
 		}
-		p, err := s.place(ctx)
+		p, err := s.relay.Place(s.need(s.exclude))
 		if err != nil {
 			return s.refuse(placeReason(err))
 		}
@@ -122,21 +121,6 @@
 	}
 }
 
-// place chooses a target, once those that the request waits for are free.
-func (s *run) place(ctx context.Context) (*board.Placement, error) {
-	for {
-		p, err := s.relay.Place(s.need(s.exclude))
-		var busy *board.Error
-		if err == nil || !eris.As(err, &busy) || busy.Kind != board.Busy {
-			return p, err
-		}
-		s.waited += busy.Wait
-		if err := clock.Sleep(ctx, busy.Wait); err != nil {
-			return nil, &board.Error{Op: "wait", Kind: board.Full}
-		}
-	}
-}
-
 // giveUp ends a request that may not be tried again.
 func (s *run) giveUp(ctx context.Context) string {
 	switch {
