board: A late prompt loses no more by the time before its objective

Cause: with the slope of 0.25 an idle engine refused a read that would be late but in time for its caller (TestHopelessRead failed): its losses added up to more than its value. Change: of the loss by lateness and that by the slope the larger one counts. Tests: TestHopelessRead passes again.

--- a/internal/board/predict.go
+++ b/internal/board/predict.go
@@ -9,7 +9,7 @@
 const (
 	lateShare   = 0.75 // of a request's value that is lost when it is late
 	lostShare   = 0.25 // that is lost in addition when the caller gives up
-	slopeShare  = 0.25  // of the value when the first event takes all of its aim, so that of two in time the sooner is chosen
+	slopeShare  = 0.25 // of the value when the first event takes all of its aim, so that of two in time the sooner is chosen
 	lateSlope   = 0.01 // the same for each further aim
 	soonEdge    = 0.75 // of an aim: predictions above it begin to count as late
 	lateEdge    = 1.15 // of an aim: predictions above it count as late for certain
@@ -103,7 +103,7 @@
 	limit := float64(max(patience*aim, minPatience))
 	gone := min(1, max(0, predicted/limit-goneFrom)/(goneFor-goneFrom))
 	aims := predicted / float64(aim)
-	return value * (late(predicted, aim) + lostShare*gone + slopeShare*min(1, aims) + lateSlope*max(0, aims-1))
+	return value * (max(late(predicted, aim), slopeShare*min(1, aims)) + lostShare*gone + lateSlope*max(0, aims-1))
 }
 
 // late is the share of value lost when something takes some milliseconds, against what is wanted.
