model: Own prompts without a slot wait until an answer ends

Change: the forecast gives prompts slots in the order in which they came, and ends answers after the passes that their output takes. Test: TestScheduleSlots.

--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -169,7 +169,7 @@
 			s = &model.Schedule{Engine: sheet}
 			engines[p.Target.ID] = s
 		}
-		s.Add(float64(clock.Now()), sheet.NewTask(short.Prompt, 1, short.Prompt, false))
+		s.Add(float64(clock.Now()), sheet.NewTask(short.Prompt, 1, short.Prompt, 1300, false))
 		for _, left := range s.Forecast(nil).Read {
 			is.True(left <= float64(short.Aim))
 		}
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -142,9 +142,9 @@
 // weigh returns what it costs that an engine reads one of several equal parts.
 func (n *node) weigh(now clock.Millis, need Need, parts int, helper bool) role {
 	r := role{node: n}
-	task := n.passes.Engine.NewTask(need.Prompt, parts, need.Prompt/parts, helper)
+	task := n.passes.Engine.NewTask(need.Prompt, parts, need.Prompt/parts, need.Output, helper)
 	after := n.passes.Forecast(task)
-	r.read = after.Read[len(after.Read)-1] + n.slotTime(helper)
+	r.read = after.Read[len(after.Read)-1]
 	r.predicted = r.read + n.firstEvent(after)
 	r.delayed = n.harm(now, n.now, after)
 	r.cost = need.loss(r.predicted) + n.risk(now)*need.value()
--- a/internal/board/predict.go
+++ b/internal/board/predict.go
@@ -28,31 +28,6 @@
 	return n.passes.Engine.StepTime * n.slowness()
 }
 
-func (n *node) slots() int {
-	if n.passes.Engine.Slots > 0 {
-		return n.passes.Engine.Slots
-	}
-	return max(n.Slots, 1)
-}
-
-// slotTime estimates how long a request waits for a slot, if all are taken.
-func (n *node) slotTime(helper bool) float64 {
-	over := n.running() - n.slots()
-	if over < 0 || helper {
-		return 0
-	}
-	left := 0.0
-	for _, j := range n.jobs {
-		if !j.helps() {
-			left += float64(j.work.Output) / float64(max(n.passes.Engine.Stride, 1))
-		}
-	}
-	writers, context, _, _ := n.load()
-	passes := left / 2 / float64(max(n.running(), 1))
-	each := passes * n.passes.Engine.WriteTime(max(writers, 1), context) / float64(n.slots())
-	return float64(over+1) * each * n.slowness()
-}
-
 // tightens returns for how long an answer keeps an engine from long passes that could have them without it. Answers with
 // short pauses are better kept together, so that other engines can read long prompts.
 func (n *node) tightens(need Need) float64 {
--- a/internal/board/progress.go
+++ b/internal/board/progress.go
@@ -18,7 +18,7 @@
 		if i == 0 {
 			tokens = w.Prompt - (parts-1)*tokens
 		}
-		task := n.passes.Engine.NewTask(w.Prompt, parts, tokens, i > 0)
+		task := n.passes.Engine.NewTask(w.Prompt, parts, tokens, w.Output, i > 0)
 		task.Left = max(0, task.Left-float64(w.Age))
 		if w.Begun {
 			task.Left = 0
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -1,5 +1,7 @@
 package model
 
+import "math"
+
 // million is the unit of pairs in Engine.PairTime.
 const million = 1e6
 
@@ -18,6 +20,14 @@
 	ReportLag   float64 // age of a load report
 }
 
+// slots returns how many requests run at once; without a bound, as many as there are.
+func (e Engine) slots() int {
+	if e.Slots <= 0 {
+		return math.MaxInt
+	}
+	return e.Slots
+}
+
 // ReadTime returns how long a whole prompt takes to be read.
 func (e Engine) ReadTime(tokens int) float64 {
 	return e.PartTime(tokens, 1)
--- a/internal/model/outlook.go
+++ b/internal/model/outlook.go
@@ -7,8 +7,11 @@
 
 	tasks   []*Task
 	left    []float64
-	order   []int // of reading
+	passes  []int // that answers still take
 	read    []float64
+	order   []int // of reading
+	unread  int
+	full    bool // prompts wait for slots
 	time    float64
 	longest float64
 	writers int
@@ -19,32 +22,38 @@
 func (o *outlook) run() Forecast {
 	o.prepare()
 	for range maxPasses {
-		if len(o.order) == 0 {
+		if o.unread == 0 || o.writers == 0 && len(o.order) == 0 {
 			break
 		}
 		o.pass()
 	}
-	for _, i := range o.order {
-		o.read[i] = o.time + o.left[i]*o.slow()
+	for i, left := range o.left {
+		if left > 0 {
+			o.read[i] = o.time + left*o.slow()
+		}
 	}
 	return Forecast{Read: o.read, Longest: o.longest, Writes: o.writes}
 }
 
 // prepare ends the current pass, and the next one if a further task would come too late for it.
 func (o *outlook) prepare() {
-	o.tasks = o.Tasks
-	o.left = make([]float64, len(o.tasks), len(o.tasks)+1)
-	o.read = make([]float64, len(o.tasks), len(o.tasks)+1)
+	for _, t := range o.Tasks {
+		o.add(t)
+	}
 	o.time = max(0, o.end-o.at)
 	for i, t := range o.tasks {
-		o.left[i] = t.Left - t.taken
-		if t.Left > 0 && o.left[i] < tiny {
-			o.read[i] = o.time
+		if o.left[i] -= t.taken; o.left[i] >= tiny {
+			o.unread++
+			continue
 		}
-		if o.left[i] < tiny {
-			o.left[i] = 0
-			o.wrote(t)
+		o.left[i] = 0
+		if t.Left > 0 {
+			o.read[i] = o.time
 		}
+		o.wrote(t)
+	}
+	if o.end > 0 {
+		o.leave()
 	}
 	o.line()
 	if o.further == nil {
@@ -53,27 +62,51 @@
 	if o.writers > 0 && o.time < reachTime {
 		o.pass()
 	}
-	o.tasks = append(o.tasks[:len(o.tasks):len(o.tasks)], o.further)
-	o.left = append(o.left, o.further.Left)
-	o.read = append(o.read, 0)
+	o.add(o.further)
+	o.unread++
 	o.line()
 }
 
-// line puts what is left to read in order.
+func (o *outlook) add(t *Task) {
+	if o.tasks == nil {
+		size := len(o.Tasks) + 1
+		o.tasks, o.left, o.passes = make([]*Task, 0, size), make([]float64, 0, size), make([]int, 0, size)
+		o.read, o.order = make([]float64, 0, size), make([]int, 0, size)
+	}
+	o.tasks = append(o.tasks, t)
+	o.left = append(o.left, t.Left)
+	o.passes = append(o.passes, t.Passes)
+	o.read = append(o.read, 0)
+}
+
+// line puts what is left to read and has a slot in order.
 func (o *outlook) line() {
-	o.order = o.order[:0]
+	o.order, o.full = o.order[:0], false
 	for i := len(o.tasks) - 1; i >= 0; i-- {
 		if o.tasks[i].Helper && o.left[i] > 0 {
 			o.order = append(o.order, i)
 		}
 	}
+	free := o.Engine.slots()
 	for i, t := range o.tasks {
-		if !t.Helper && o.left[i] > 0 {
+		if t.Helper || o.ended(i) {
+			continue
+		}
+		if free--; free < 0 {
+			o.full = true
+			return
+		}
+		if o.left[i] > 0 {
 			o.order = append(o.order, i)
 		}
 	}
 }
 
+// ended marks answers that have left their slot.
+const ended = -1 << 30
+
+func (o *outlook) ended(i int) bool { return o.passes[i] == ended }
+
 // wrote counts the answer to a task that is read.
 func (o *outlook) wrote(t *Task) {
 	if !t.Helper {
@@ -82,7 +115,21 @@
 	}
 }
 
-// pass reads the first task, or without answers all that a pass has room for.
+// leave advances the answers by a pass and takes off those that end.
+func (o *outlook) leave() {
+	for i, t := range o.tasks {
+		if t.Helper || o.left[i] > 0 || o.ended(i) {
+			continue
+		}
+		if o.passes[i]--; o.passes[i] <= 0 {
+			o.passes[i] = ended
+			o.writers--
+			o.context -= t.Tokens
+		}
+	}
+}
+
+// pass reads the first task, or beside answers all that a pass has room for.
 func (o *outlook) pass() {
 	if o.writers == 0 {
 		i := o.order[0]
@@ -105,7 +152,13 @@
 	length *= o.slow()
 	o.time += length
 	o.longest = max(o.longest, length)
+	if o.full {
+		o.leave()
+	}
 	o.done()
+	if o.full {
+		o.line()
+	}
 }
 
 // done takes what is read out of the order.
@@ -117,6 +170,7 @@
 			continue
 		}
 		o.left[i] = 0
+		o.unread--
 		o.read[i] = o.time
 		if o.tasks[i] == o.further {
 			o.writes = o.writers > 0
--- a/internal/model/schedule.go
+++ b/internal/model/schedule.go
@@ -16,6 +16,7 @@
 	Left   float64 // milliseconds of reading that are left
 	Total  float64 // milliseconds of reading in all
 	Tokens int     // prompt tokens that are read here
+	Passes int     // that its answer is expected to take from here on
 	Helper bool    // the answer is written elsewhere
 
 	came  float64 // when the schedule was given it
@@ -23,10 +24,10 @@
 	ended float64 // when it was read
 }
 
-// NewTask returns the task of one of several equal parts of a prompt.
-func (e Engine) NewTask(prompt, parts, tokens int, helper bool) *Task {
+// NewTask returns the task of one of several equal parts of a prompt, whose answer has some tokens if it is written here.
+func (e Engine) NewTask(prompt, parts, tokens, output int, helper bool) *Task {
 	time := e.PartTime(prompt, parts)
-	return &Task{Left: time, Total: time, Tokens: tokens, Helper: helper}
+	return &Task{Left: time, Total: time, Tokens: tokens, Passes: output / max(e.Stride, 1), Helper: helper}
 }
 
 // writes reports whether the engine writes an answer to the task.
@@ -36,7 +37,7 @@
 //
 // While it writes, an engine works in passes: what came before a pass is read in it, and its answers advance at its end.
 // While it writes nothing, it reads on without pause. It reads helpers' parts first, the newest of them before all, then
-// its own prompts as they came.
+// its own prompts as they came. Own prompts that have no slot wait until an answer ends.
 type Schedule struct {
 	Engine Engine
 	Slow   float64 // times as long as the engine says; zero is taken as one
@@ -132,6 +133,9 @@
 // finish ends the current pass.
 func (s *Schedule) finish(at float64) {
 	for _, t := range s.Tasks {
+		if t.writes() {
+			t.Passes--
+		}
 		if t.taken > 0 {
 			t.Left -= t.taken
 			t.taken = 0
@@ -161,15 +165,19 @@
 // Done notes that a task is read, which says nothing of the passes.
 func (s *Schedule) Done(t *Task) { t.Left, t.taken = 0, 0 }
 
-// each calls a function with what is to be read, in the order in which it is read, until it returns false.
+// each calls a function with what is to be read and has a slot, in the order in which it is read, until it returns false.
 func (s *Schedule) each(visit func(*Task) bool) {
 	for i := len(s.Tasks) - 1; i >= 0; i-- {
 		if t := s.Tasks[i]; t.Helper && t.Left > 0 && !visit(t) {
 			return
 		}
 	}
+	free := s.Engine.slots()
 	for _, t := range s.Tasks {
-		if !t.Helper && t.Left > 0 && !visit(t) {
+		if t.Helper {
+			continue
+		}
+		if free--; free < 0 || t.Left > 0 && !visit(t) {
 			return
 		}
 	}
--- a/internal/model/schedule_test.go
+++ b/internal/model/schedule_test.go
@@ -11,7 +11,7 @@
 func newSchedule(writers int) *Schedule {
 	s := &Schedule{Engine: sheet}
 	for range writers {
-		t := sheet.NewTask(5000, 1, 5000, false)
+		t := sheet.NewTask(5000, 1, 5000, 1300, false)
 		t.Left = 0
 		s.Add(0, t)
 	}
@@ -29,7 +29,7 @@
 func TestSchedulePasses(t *testing.T) {
 	s := newSchedule(2)
 	pass := sheet.WriteTime(2, 10_000)
-	first, second := sheet.NewTask(5000, 1, 5000, false), sheet.NewTask(10_000, 1, 10_000, false)
+	first, second := sheet.NewTask(5000, 1, 5000, 1300, false), sheet.NewTask(10_000, 1, 10_000, 1300, false)
 	s.Add(10, first)
 	s.Add(20, second)
 	read := first.Total + second.Total
@@ -43,7 +43,7 @@
 // Without answers an engine reads on: helpers' parts first, the newest of them before all, then its own as they came.
 func TestScheduleOrder(t *testing.T) {
 	s := &Schedule{Engine: sheet}
-	own, old, recent := sheet.NewTask(50_000, 1, 50_000, false), sheet.NewTask(60_000, 2, 30_000, true), sheet.NewTask(80_000, 4, 20_000, true)
+	own, old, recent := sheet.NewTask(50_000, 1, 50_000, 1300, false), sheet.NewTask(60_000, 2, 30_000, 1300, true), sheet.NewTask(80_000, 4, 20_000, 1300, true)
 	s.Add(0, own)
 	s.Add(100, old)
 	s.Add(120, recent)
@@ -57,35 +57,53 @@
 func TestScheduleLong(t *testing.T) {
 	is := is.New(t)
 	s := newSchedule(1)
-	f := s.Forecast(sheet.NewTask(182_000, 1, 182_000, false))
+	f := s.Forecast(sheet.NewTask(182_000, 1, 182_000, 1300, false))
 	near(t, f.Read[1], 4*sheet.WriteTime(1, 5000)+sheet.ReadTime(182_000)) // the one in progress and three that read
 	is.True(f.Longest > 1400 && f.Longest < 1600)
 	is.True(f.Writes)
 }
 
+// Where all slots are taken, a prompt is read once an answer has ended.
+func TestScheduleSlots(t *testing.T) {
+	s := newSchedule(16)
+	for i, task := range s.Tasks {
+		task.Passes = 10 + i
+	}
+	pass := sheet.WriteTime(16, 80_000)
+	first, second := sheet.NewTask(5000, 1, 5000, 1300, false), sheet.NewTask(5000, 1, 5000, 1300, false)
+	s.Add(10, first)
+	s.Add(20, second)
+	s.Advance(pass / 2)
+	read := s.Forecast(nil).Read
+	near(t, read[16], 10.5*pass+first.Total)
+	near(t, read[17], 11.5*pass+first.Total+second.Total)
+	s.Remove(s.Tasks[0]) // ended sooner
+	near(t, s.Forecast(nil).Read[15], 1.5*pass+first.Total)
+}
+
 // A first event tells when a pass has ended, sooner or later than it was taken to.
 func TestScheduleSeen(t *testing.T) {
 	s := newSchedule(1)
 	pass := sheet.WriteTime(1, 5000)
-	task := sheet.NewTask(5000, 1, 5000, false)
+	task := sheet.NewTask(5000, 1, 5000, 1300, false)
 	s.Add(10, task)
 	ends := 2*pass + task.Total
 	s.Advance(ends + 30)
 	s.Seen(task, ends+20)
-	near(t, s.Forecast(sheet.NewTask(0, 1, 0, false)).Read[2], 0) // nothing to read
-	near(t, s.Forecast(sheet.NewTask(1540, 1, 1540, false)).Read[2], pass-10+pass+10)
+	near(t, s.Forecast(sheet.NewTask(0, 1, 0, 1300, false)).Read[2], 0) // nothing to read
+	near(t, s.Forecast(sheet.NewTask(1540, 1, 1540, 1300, false)).Read[2], pass-10+pass+10)
 
-	sooner := sheet.NewTask(5000, 1, 5000, false)
+	sooner := sheet.NewTask(5000, 1, 5000, 1300, false)
 	s.Add(ends+40, sooner)
 	s.Advance(ends + 20 + pass + 40)
 	s.Seen(sooner, ends+20+pass+30)
-	near(t, s.Forecast(sheet.NewTask(1540, 1, 1540, false)).Read[3], pass-10+pass+10)
+	near(t, s.Forecast(sheet.NewTask(1540, 1, 1540, 1300, false)).Read[3], pass-10+pass+10)
 }
 
 // Without a known speed there are no passes, and the time until the speed is known is not made up for.
 func TestScheduleUnknownEngine(t *testing.T) {
 	s := &Schedule{}
-	s.Add(1e12, Engine{}.NewTask(0, 1, 0, false))
+	s.Add(1e12, Engine{}.NewTask(0, 1, 0, 1300, false))
 	s.Engine = sheet
 	started := time.Now()
 	s.Advance(1e12 + 100)
@@ -95,10 +113,10 @@
 func BenchmarkForecast(b *testing.B) {
 	s := newSchedule(12)
 	for i := range 8 {
-		s.Add(10, sheet.NewTask(5000*(1+i%3), 1+i%2, 5000, i%2 == 1))
+		s.Add(10, sheet.NewTask(5000*(1+i%3), 1+i%2, 5000, 1300, i%2 == 1))
 	}
-	s.Add(10, sheet.NewTask(182_000, 1, 182_000, false))
+	s.Add(10, sheet.NewTask(182_000, 1, 182_000, 1300, false))
 	for b.Loop() {
-		s.Forecast(sheet.NewTask(45_000, 1, 45_000, false))
+		s.Forecast(sheet.NewTask(45_000, 1, 45_000, 1300, false))
 	}
 }
