--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -143,6 +143,23 @@
 	}
 }
 
+// Pattern: a crest of short questions begins, with engines idle. Engines are not filled to the last slot, so that what
+// other instances place unknown to this one still finds a slot.
+func TestShortFillEngines(t *testing.T) {
+	is := is.New(t)
+	boards := newBoards(t, 1, 4)
+	count := make(map[string]int)
+	for range 36 {
+		p := place(t, boards[0], short)
+		p.Begun()
+		count[p.Target.ID]++
+		settle(boards)
+	}
+	for _, n := range count {
+		is.True(n < sheet.Slots-2)
+	}
+}
+
 // Pattern: medium prompts and short questions together. Neither makes the other late while there is an engine for each.
 func TestMediumBesideShort(t *testing.T) {
 	is := is.New(t)
--- a/internal/board/predict.go
+++ b/internal/board/predict.go
@@ -17,6 +17,8 @@
 	goneFor     = 0.9  // of a caller's patience: predictions above it count as lost for certain
 	patience    = 4    // aims after which callers give up
 	minPatience = 2 * clock.Second
+
+	packShare = 0.7 // of an engine's slots that are filled before another engine is taken for answers with short pauses
 )
 
 // firstEvent returns how long it takes from the end of reading until the first event. Beside answers it comes with the end
@@ -35,11 +37,12 @@
 		return 0
 	}
 	writers, context := 1, need.Prompt
+	room := float64(n.running()) < packShare*float64(n.passes.Engine.Slots)
 	for _, j := range n.jobs {
 		if j.helps() {
 			continue
 		}
-		if j.work.Pause > 0 && j.work.Pause <= need.Pause {
+		if room && j.work.Pause > 0 && j.work.Pause <= need.Pause {
 			return 0
 		}
 		writers++
