model: Bound by how much late news moves a pass

Cause: found on reading the change. News of a first event that waited, as while the receiver was frozen, moved the end of the engine's pass by all of that time, and the engine was taken to be busy for seconds. Change: a pass is moved by its own length at most. Test: TestScheduleLateNews (fails before).

--- a/internal/model/schedule.go
+++ b/internal/model/schedule.go
@@ -153,8 +153,9 @@
 	case t.Left > 0:
 		t.Left, t.ended = 0, at
 	case t.ended > 0 && s.end > 0:
-		s.start += at - t.ended
-		s.end = max(s.end+at-t.ended, now)
+		late := min(at-t.ended, s.end-s.start) // news may have waited, as while this process was frozen
+		s.start += late
+		s.end = max(s.end+late, now)
 		t.ended = 0
 	}
 }
--- a/internal/model/schedule_test.go
+++ b/internal/model/schedule_test.go
@@ -100,6 +100,17 @@
 	near(t, s.Forecast(sheet.NewTask(1540, 1, 1540, 1300, false)).Read[3], pass-10+pass+10)
 }
 
+// News of a first event that comes seconds late moves a pass by no more than its length.
+func TestScheduleLateNews(t *testing.T) {
+	s := newSchedule(1)
+	pass := sheet.WriteTime(1, 5000)
+	task := sheet.NewTask(5000, 1, 5000, 1300, false)
+	s.Add(10, task)
+	s.Advance(2*pass + task.Total + 10)
+	s.Seen(task, 5000)
+	is.New(t).True(s.Forecast(sheet.NewTask(1540, 1, 1540, 1300, false)).Read[2] < 4*pass)
+}
+
 // Without a known speed there are no passes, and the time until the speed is known is not made up for.
 func TestScheduleUnknownEngine(t *testing.T) {
 	s := &Schedule{}
