--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -20,28 +20,19 @@
 	equalCost   = 0.03                   // of its value: engines that cost a prompt no more than this above the best are as good
 	idleBacklog = 300 * clock.Millis(1)  // unread at each engine on average, up to which their time costs nothing
 	fullBacklog = 1500 * clock.Millis(1) // at which it costs the most
-	idleSlots   = 0.6                    // of all slots taken, up to which the engines' time costs nothing
-	fullSlots   = 0.95                   // of all slots taken, at which it costs the most
 	timePrice   = 20.0                   // value of a millisecond of a loaded engine, in tokens
 	calmPrice   = 1.0                    // value of a millisecond of an engine without answers that bear no long pass, in tokens
 )
 
-// price returns what a millisecond of the engines' time is worth to others, by how much waits to be read and how many slots
-// are taken.
+// price returns what a millisecond of the engines' time is worth to others, by how much waits to be read.
 func price(nodes []*node) float64 {
-	backlog, running, slots := 0.0, 0, 0
+	total := 0.0
 	for _, n := range nodes {
-		_, _, unread, _ := n.load()
-		backlog += unread
-		running += n.running()
-		slots += n.passes.Engine.Slots
+		_, _, backlog, _ := n.load()
+		total += backlog
 	}
-	mean := backlog / float64(len(nodes))
-	share := max(0, mean-float64(idleBacklog)) / float64(fullBacklog-idleBacklog)
-	if slots > 0 {
-		share = max(share, (float64(running)/float64(slots)-idleSlots)/(fullSlots-idleSlots))
-	}
-	return timePrice * min(1, share)
+	mean := total / float64(len(nodes))
+	return timePrice * min(1, max(0, mean-float64(idleBacklog))/float64(fullBacklog-idleBacklog))
 }
 
 // pick is a choice that is being weighed.
