model, board: Remove what the schedule replaced, and name its terms

PassTime and three of the four results of node.load had no user left. TestPassTime asks for the same times of the schedule. The answer's price is that of the time for which an engine is kept from long passes (passPrice, shortPassTime); harm takes the forecast without the prompt from the node.

--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -21,15 +21,14 @@
 	idleBacklog = 300 * clock.Millis(1)  // unread at each engine on average, up to which their time costs nothing
 	fullBacklog = 1500 * clock.Millis(1) // at which it costs the most
 	timePrice   = 20.0                   // value of a millisecond of a loaded engine, in tokens
-	calmPrice   = 1.0                    // value of a millisecond of an engine without answers that bear no long pass, in tokens
+	passPrice   = 1.0                    // value of a millisecond for which an engine is kept from long passes, in tokens
 )
 
 // price returns what a millisecond of the engines' time is worth to others, by how much waits to be read.
 func price(nodes []*node) float64 {
 	total := 0.0
 	for _, n := range nodes {
-		_, _, backlog, _ := n.load()
-		total += backlog
+		total += n.backlog()
 	}
 	mean := total / float64(len(nodes))
 	return timePrice * min(1, max(0, mean-float64(idleBacklog))/float64(fullBacklog-idleBacklog))
@@ -48,7 +47,7 @@
 func chooseEngine(now clock.Millis, need Need, nodes []*node, choices int) pick {
 	for _, n := range nodes {
 		n.advance(now)
-		n.now = n.passes.Forecast(nil)
+		n.before = n.passes.Forecast(nil)
 	}
 	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
 	best := pick{}
@@ -146,10 +145,10 @@
 	after := n.passes.Forecast(task)
 	r.read = after.Read[len(after.Read)-1]
 	r.predicted = r.read + n.firstEvent(after)
-	r.delayed = n.harm(now, n.now, after)
+	r.delayed = n.harm(now, after)
 	r.cost = need.loss(r.predicted) + n.risk(now)*need.value()
 	if !helper {
-		r.cost += calmPrice * n.tightens(need)
+		r.cost += passPrice * n.shortPassTime(need)
 	}
 	for _, lost := range r.delayed {
 		r.cost += lost
--- a/internal/board/node.go
+++ b/internal/board/node.go
@@ -32,7 +32,7 @@
 	answer   float64      // milliseconds that its answers take, smoothed
 	answered clock.Millis // when the last one came
 	passes   model.Schedule
-	now      model.Forecast // without the request that is being placed
+	before   model.Forecast // without the request that is being placed
 }
 
 func (n *node) usable(now clock.Millis) bool { return !n.gone && !n.Draining && now >= n.ejected }
@@ -68,19 +68,13 @@
 	n.passes.Advance(float64(now))
 }
 
-// load returns the answers being written, their context, and what is left to read, in milliseconds and tokens.
-func (n *node) load() (writers, context int, backlog float64, tokens int) {
-	for _, j := range n.jobs {
-		switch {
-		case j.task.Left > 0:
-			backlog += j.task.Left
-			tokens += j.task.Tokens
-		case !j.helps():
-			writers++
-			context += j.task.Tokens
-		}
+// backlog returns what is left to read, in milliseconds.
+func (n *node) backlog() float64 {
+	total := 0.0
+	for _, t := range n.passes.Tasks {
+		total += max(0, t.Left)
 	}
-	return writers, context, backlog, tokens
+	return total
 }
 
 // running counts the requests that have or wait for a slot.
--- a/internal/board/predict.go
+++ b/internal/board/predict.go
@@ -30,9 +30,9 @@
 	return n.passes.Engine.StepTime * n.slowness()
 }
 
-// tightens returns for how long an answer keeps an engine from long passes that could have them without it. Answers with
-// short pauses are better kept together, so that other engines can read long prompts.
-func (n *node) tightens(need Need) float64 {
+// shortPassTime returns for how long an answer keeps an engine from long passes that could have them without it. Answers
+// with short pauses are better kept together, so that other engines can read long prompts.
+func (n *node) shortPassTime(need Need) float64 {
 	if need.Pause <= 0 {
 		return 0
 	}
@@ -52,9 +52,10 @@
 	return passes * n.passes.Engine.WriteTime(writers, context)
 }
 
-// harm returns the value that others on an engine lose, by work, when it goes as forecast after a further task and not as
+// harm returns the value that others on an engine lose, by work, when it goes as forecast with a further task and not as
 // before.
-func (n *node) harm(now clock.Millis, before, after model.Forecast) map[key]float64 {
+func (n *node) harm(now clock.Millis, after model.Forecast) map[key]float64 {
+	before := n.before
 	delayed := make(map[key]float64)
 	for i, j := range n.jobs {
 		value := j.work.value()
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -51,15 +51,3 @@
 
 // PassTokens returns the most prompt tokens that a pass reads beside answers.
 func (e Engine) PassTokens() int { return e.Chunk * max(e.Stride, 1) }
-
-// PassTime returns how long a pass takes with some answers and a backlog of unread prompts.
-func (e Engine) PassTime(writers, context int, backlog float64, tokens int) float64 {
-	if writers == 0 {
-		return backlog
-	}
-	read := backlog
-	if most := e.PassTokens(); tokens > most && most > 0 {
-		read *= float64(most) / float64(tokens)
-	}
-	return e.WriteTime(writers, context) + read
-}
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -24,9 +24,10 @@
 // A pass beside answers reads a bounded number of tokens; without answers it is nothing but reading.
 func TestPassTime(t *testing.T) {
 	is := is.New(t)
-	is.Equal(sheet.PassTime(0, 0, 3900, 182_000), 3900.0)
-	alone := sheet.PassTime(1, 5000, 0, 0)
+	long := sheet.NewTask(182_000, 1, 182_000, 600, false)
+	is.Equal((&Schedule{Engine: sheet}).Forecast(long).Read[0], long.Total)
+	alone := sheet.WriteTime(1, 5000)
 	is.True(alone > 44 && alone < 46)
-	beside := sheet.PassTime(1, 5000, 3900, 182_000)
+	beside := newSchedule(1).Forecast(long).Longest
 	is.True(beside > 1400 && beside < 1600) // 69,632 of 182,000 tokens
 }
