--- a/internal/board/predict.go
+++ b/internal/board/predict.go
@@ -10,7 +10,7 @@
 	lateShare   = 0.75 // of a request's value that is lost when it is late
 	lostShare   = 0.25 // that is lost in addition when the caller gives up
 	slopeShare  = 0.25 // of the value when the first event takes all of its aim, so that of two in time the sooner is chosen
-	lateSlope   = 0.1 // the same for each further aim
+	lateSlope   = 0.01 // the same for each further aim
 	soonEdge    = 0.75 // of an aim: predictions above it begin to count as late
 	lateEdge    = 1.15 // of an aim: predictions above it count as late for certain
 	goneFrom    = 0.6  // of a caller's patience: predictions above it begin to count as lost
