model: Say what an outlook holds

The fields of a forecast in the making had no words, and were allocated with the first task. Behaviour is the same; tests of model and board with the race detector: passed.

--- a/internal/model/outlook.go
+++ b/internal/model/outlook.go
@@ -5,19 +5,19 @@
 	*Schedule
 	further *Task
 
-	tasks   []*Task
-	left    []float64
-	gone    []bool  // answers that have ended
-	ending  float64 // answers that have ended and are not gone yet
-	read    []float64
-	order   []int // of reading
-	unread  int
-	full    bool // prompts wait for slots
-	time    float64
-	longest float64
-	writers int
-	context int
-	writes  bool
+	tasks   []*Task   // of the engine, and the further one
+	left    []float64 // by task, of reading
+	read    []float64 // by task, when it is read
+	gone    []bool    // by task, whether its answer has ended
+	order   []int     // of what is read next
+	unread  int       // tasks
+	full    bool      // prompts wait for slots
+	ending  float64   // answers that have ended and are not gone yet
+	time    float64   // from now
+	longest float64   // pass
+	writers int       // answers that are being written
+	context int       // tokens of their prompts
+	writes  bool      // see Forecast
 }
 
 func (o *outlook) run() Forecast {
@@ -38,6 +38,9 @@
 
 // prepare ends the current pass, and the next one if a further task would come too late for it.
 func (o *outlook) prepare() {
+	size := len(o.Tasks) + 1
+	o.tasks, o.order = make([]*Task, 0, size), make([]int, 0, size)
+	o.left, o.read, o.gone = make([]float64, 0, size), make([]float64, 0, size), make([]bool, 0, size)
 	for _, t := range o.Tasks {
 		o.add(t)
 	}
@@ -69,11 +72,6 @@
 }
 
 func (o *outlook) add(t *Task) {
-	if o.tasks == nil {
-		size := len(o.Tasks) + 1
-		o.tasks, o.left, o.gone = make([]*Task, 0, size), make([]float64, 0, size), make([]bool, 0, size)
-		o.read, o.order = make([]float64, 0, size), make([]int, 0, size)
-	}
 	o.tasks = append(o.tasks, t)
 	o.left = append(o.left, t.Left)
 	o.gone = append(o.gone, false)
