board: Choose among more engines the more placements are unseen

Cause: costs counted as equal within 3% of the value whatever the rate of placements. If the cheapest engine is one pass cheaper than the next, all instances chose it before they had heard of each other. Ruled out: the number of choices (7 of 24 engines allowed, 1 or 2 used). Change: the margin grows with the number of unseen placements, as each may have made the cheapest engine dearer by about as much; one or fewer: as before. Before: TestBurstBeforeBroadcast failed in 8 of 300 runs. After: 0 of 600.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -162,7 +162,7 @@
 		if capacity := engine.Memory * min(len(targets), maxParts); capacity > 0 && req.PromptTokens+req.MaxOutputTokens > capacity {
 			return nil, &Error{Op: "place", Kind: TooLarge}
 		}
-		chosen = chooseEngines(now, req, targets, b.randomChoiceCount(now, len(targets)))
+		chosen = chooseEngines(now, req, targets, b.randomness(now, len(targets)))
 		if chosen.primary != nil && chosen.cost+timePrice(targets)*engine.PrefillTime(req.PromptTokens) > req.value() {
 			return nil, &Error{Op: "place", Kind: Costly}
 		}
@@ -175,12 +175,21 @@
 	return b.commit(now, req, chosen), nil
 }
 
-// randomChoiceCount returns how many of the best engines to choose from at random. Placements that other instances have
-// made within the last propagationTime are not known here yet, so without the random choice all instances would choose the
-// same engine.
-func (b *Board) randomChoiceCount(now clock.Millis, engines int) int {
+// randomness says among which engines a choice is random.
+type randomness struct {
+	choices int     // most engines to choose from
+	margin  float64 // of the request's value: the most by which their costs differ
+}
+
+// randomness returns how random choices are now. Placements that other instances have made within the last propagationTime
+// are not known here yet, so without it all instances would choose the same engine. Each such placement may have made the
+// cheapest engine dearer, so that a larger difference counts as equal the more there are.
+func (b *Board) randomness(now clock.Millis, engines int) randomness {
 	unseen := b.remotePlacements.perSecond(now) * float64(propagationTime) / float64(clock.Second)
-	return 1 + int(min(choicesPerUnseen*unseen, maxChoicesShare*float64(engines)))
+	return randomness{
+		choices: 1 + int(min(choicesPerUnseen*unseen, maxChoicesShare*float64(engines))),
+		margin:  equalCostMargin * max(1, unseen),
+	}
 }
 
 // eligibleTargets returns the targets that may run a request. If there are none, it falls back to ejected targets, and then
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -17,7 +17,7 @@
 	propagationTime  = 10 * clock.Millis(1)   // time until other instances have received a placement
 	choicesPerUnseen = 3.0                    // engines to choose from at random, per placement not received yet
 	maxChoicesShare  = 0.25                   // of the engines: the most to choose from at random
-	equalCostMargin  = 0.03                   // of the request's value: costs that differ by no more count as equal
+	equalCostMargin  = 0.03                   // of the request's value: costs that differ by no more count as equal, for each unseen placement and at least one
 	idleBacklog      = 300 * clock.Millis(1)  // mean prefill backlog per engine up to which engine time is free
 	fullBacklog      = 1500 * clock.Millis(1) // mean prefill backlog from which engine time costs maxTimePrice
 	maxTimePrice     = 20.0                   // value of a millisecond of engine time under full backlog, in tokens
@@ -48,7 +48,7 @@
 // delays lose the least value. If no choice is possible, the result has no primary.
 //
 // If no engine has the memory for the whole prompt, the prompt is split, and each engine keeps its part in memory.
-func chooseEngines(now clock.Millis, req Requirements, targets []*targetState, choices int) choice {
+func chooseEngines(now clock.Millis, req Requirements, targets []*targetState, random randomness) choice {
 	for _, s := range targets {
 		s.advance(now)
 		s.baseline = s.schedule.Forecast(nil)
@@ -65,7 +65,7 @@
 		if parts > 1 && fitsOne && targets[0].schedule.Engine.PrefillTime(req.PromptTokens) < spreadThreshold*slo {
 			break
 		}
-		option := chooseParts(now, req, targets, parts, !fitsOne, choices)
+		option := chooseParts(now, req, targets, parts, !fitsOne, random)
 		if option.primary != nil && (best.primary == nil || option.cost < best.cost) {
 			best = option
 		}
@@ -92,13 +92,13 @@
 // chooseParts returns the cheapest engines for a given number of equal parts: a primary, which generates the answer,
 // and helpers, which only prefill. With split, each engine keeps its own part in memory; otherwise the primary keeps the
 // whole prompt, and the helpers keep nothing.
-func chooseParts(now clock.Millis, req Requirements, targets []*targetState, parts int, split bool, choices int) choice {
+func chooseParts(now clock.Millis, req Requirements, targets []*targetState, parts int, split bool, random randomness) choice {
 	memory, partMemory := req.PromptTokens+req.MaxOutputTokens, 0
 	if split {
 		partMemory = req.PromptTokens / parts
 		memory = partMemory + req.MaxOutputTokens
 	}
-	first := choosePrimary(now, req, targets, parts, memory, choices)
+	first := choosePrimary(now, req, targets, parts, memory, random)
 	if first == nil || split && parts < 2 {
 		return choice{}
 	}
@@ -114,9 +114,9 @@
 	return result
 }
 
-// choosePrimary returns the cheapest engine with enough free memory, or nil. It chooses at random among as many engines as
-// choices says, if their costs count as equal.
-func choosePrimary(now clock.Millis, req Requirements, targets []*targetState, parts, memory, choices int) *candidate {
+// choosePrimary returns the cheapest engine with enough free memory, or nil. It chooses at random among the cheapest engines
+// whose costs count as equal.
+func choosePrimary(now clock.Millis, req Requirements, targets []*targetState, parts, memory int, random randomness) *candidate {
 	candidates := make([]candidate, 0, len(targets))
 	for _, s := range targets {
 		if s.hasMemory(memory) {
@@ -128,7 +128,7 @@
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 	tied := 1
-	for tied < min(choices, len(candidates)) && candidates[tied].cost <= candidates[0].cost+equalCostMargin*req.value() {
+	for tied < min(random.choices, len(candidates)) && candidates[tied].cost <= candidates[0].cost+random.margin*req.value() {
 		tied++
 	}
 	return &candidates[rand.IntN(tied)]
