--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -42,9 +44,12 @@
 // MarshalText formats a duration as it is written in settings.
 func (m Millis) MarshalText() ([]byte, error) { return []byte(m.String()), nil }
 
-// UnmarshalText parses a duration such as "250ms" or "2h".
+// UnmarshalText parses a duration such as "250ms", "2h" or "1e+4ms".
 func (m *Millis) UnmarshalText(text []byte) error {
 	d, err := time.ParseDuration(string(text))
+	if err != nil {
+		d, err = parseExponent(string(text))
+	}
 	if err != nil {
 		return fmt.Errorf("not a duration such as 250ms: %q", text)
 	}
@@ -52,6 +57,20 @@
 	return nil
 }
 
+// parseExponent parses a duration of one unit whose number has an exponent, which time.ParseDuration does not accept.
+func parseExponent(text string) (time.Duration, error) {
+	number := strings.TrimRight(text, "hmsu\u00b5n")
+	unit, err := time.ParseDuration("1" + text[len(number):])
+	if err != nil {
+		return 0, err
+	}
+	factor, err := strconv.ParseFloat(number, 64)
+	if err != nil {
+		return 0, err
+	}
+	return time.Duration(factor * float64(unit)), nil
+}
+
 // Sleep waits for a duration. If the context ends first, it returns the context's error.
 func Sleep(ctx context.Context, d Millis) error {
 	timer := time.NewTimer(d.Duration())
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -11,7 +11,7 @@
 // Limits bound the number of retries.
 type Limits struct {
 	Ratio  float64      // retries allowed per request in the window
-	Extra  int          // retries allowed in the window beyond the ratio
+	Extra  float64      // retries allowed in the window beyond the ratio
 	Window clock.Millis // length of the sliding window
 }
 
@@ -45,7 +45,7 @@
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
-	if float64(retries+1) > limits.Ratio*float64(requests)+float64(limits.Extra) {
+	if float64(retries+1) > limits.Ratio*float64(requests)+limits.Extra {
 		return false
 	}
 	b.retries[b.bucket%buckets]++
