--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -38,6 +38,7 @@
 	placedAt         map[uint64]clock.Millis
 	placements       map[uint64]*Placement
 	pending          packet // changes that are not broadcast yet
+	flushScheduled   bool   // a tick is due that broadcasts them
 	announce         bool   // set when instances have joined, which do not know the own requests yet
 	lastNumber       uint64 // number of the last own request
 	remotePlacements placementRate
@@ -68,16 +69,12 @@
 	if b.Probe != nil {
 		go b.monitorTargets(ctx)
 	}
-	flush := time.NewTicker(flushInterval.Duration())
-	defer flush.Stop()
 	rebroadcast := time.NewTicker(rebroadcastInterval.Duration())
 	defer rebroadcast.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-flush.C:
-			b.Loop.Post(b.tick)
 		case <-rebroadcast.C:
 			b.Loop.Post(b.rebroadcastAndExpire)
 		}
--- a/internal/board/broadcast.go
+++ b/internal/board/broadcast.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -26,8 +27,18 @@
 	b.pending = packet{}
 }
 
+// scheduleFlush makes the pending changes go out together within flushInterval; call it on the control loop after a change.
+func (b *Board) scheduleFlush() {
+	if b.flushScheduled {
+		return
+	}
+	b.flushScheduled = true
+	time.AfterFunc(flushInterval.Duration(), func() { b.Loop.Post(b.tick) })
+}
+
 // tick broadcasts recent changes, and all own requests if instances have joined.
 func (b *Board) tick() {
+	b.flushScheduled = false
 	b.flush()
 	if b.announce {
 		b.announce = false
@@ -36,7 +47,10 @@
 }
 
 // AnnounceAll schedules a broadcast of all own requests, for instances that have joined; call it on the control loop.
-func (b *Board) AnnounceAll() { b.announce = true }
+func (b *Board) AnnounceAll() {
+	b.announce = true
+	b.scheduleFlush()
+}
 
 // broadcast encodes a datagram and sends it to all other instances.
 func (b *Board) broadcast(p packet) {
--- a/internal/board/placement.go
+++ b/internal/board/placement.go
@@ -65,6 +65,7 @@
 		}
 		b.recordFirstEvent(requestKey{b.Self, p.number}, at)
 		b.pending.FirstEvents = append(b.pending.FirstEvents, firstEvent{Number: p.number, Age: at}) // flush replaces the point in time by the age
+		b.scheduleFlush()
 	})
 }
 
@@ -89,6 +90,7 @@
 		case Unreachable:
 			b.pending.Unreachable = append(b.pending.Unreachable, id)
 		}
+		b.scheduleFlush()
 	})
 }
 
@@ -98,5 +100,6 @@
 	b.Loop.Post(func() {
 		b.recordOutcome(helper, Unreachable)
 		b.pending.Unreachable = append(b.pending.Unreachable, helper)
+		b.scheduleFlush()
 	})
 }
--- a/internal/board/probe.go
+++ b/internal/board/probe.go
@@ -77,6 +77,7 @@
 			b.applyProbe(r)
 		}
 		b.pending.Probes = append(b.pending.Probes, results...)
+		b.scheduleFlush()
 	})
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -35,6 +35,7 @@
 	Apply         func(o store.Object) error                                   // validates and activates a newer version
 	OnUpdate      func()                                                       // called after a newer version became active; may be nil
 	WatchDuration clock.Millis                                                 // of one watch call at the source; zero for the default
+	HintInterval  func() clock.Millis                                          // shortest time between reads from peers; nil for none
 
 	mu           sync.Mutex
 	current      atomic.Pointer[store.Object]
@@ -117,6 +118,7 @@
 		case <-ctx.Done():
 		case h := <-f.hints:
 			f.followHint(ctx, h)
+			f.pauseHints(ctx)
 		case <-time.After(wait.Duration()):
 			if !first {
 				f.poll(ctx)
@@ -205,6 +207,13 @@
 	}
 }
 
+// pauseHints waits for HintInterval. Hints that arrive meanwhile are followed together.
+func (f *Feed) pauseHints(ctx context.Context) {
+	if f.HintInterval != nil {
+		_ = clock.Sleep(ctx, f.HintInterval())
+	}
+}
+
 func (f *Feed) fetchFromPeer(ctx context.Context, peer string) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout.Duration())
 	defer cancel()
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -77,6 +77,8 @@
 	lastTickAt     time.Time
 	lastSyncTick   int // 0 before the first exchange of lists
 	viewVersion    uint64
+	merging        bool // a list is being merged; the view is published at its end
+	viewChanged    bool // the view is to be published at the end of the merge
 	view           atomic.Pointer[View]
 	lastHeard      atomic.Int64 // time of the last packet from a peer, in milliseconds
 }
@@ -249,8 +251,12 @@
 	g.Send(addr, data)
 }
 
-// publishView replaces the view after a change of the list.
+// publishView replaces the view after a change of the list, or leaves that to the end of the merge.
 func (g *Group) publishView() {
+	if g.merging {
+		g.viewChanged = true
+		return
+	}
 	members := []Member{g.Self}
 	for _, k := range g.members {
 		members = append(members, k.Member)
--- a/internal/member/rumor.go
+++ b/internal/member/rumor.go
@@ -108,10 +108,17 @@
 	}()
 }
 
+// mergeList applies a peer's list. The view is published once, as that sorts all members.
 func (g *Group) mergeList(l List) {
+	g.merging = true
 	for _, m := range l.Members {
 		g.mergeMember(m)
 	}
+	g.merging = false
+	if g.viewChanged {
+		g.viewChanged = false
+		g.publishView()
+	}
 	for _, target := range l.LeavingTargets {
 		g.addLeavingTarget(target)
 	}
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -28,13 +28,14 @@
 
 // Member describes one entry instance.
 type Member struct {
-	Name             string `cbor:"1,keyasint" json:"name"`
-	Zone             string `cbor:"2,keyasint" json:"zone"`
-	Addr             string `cbor:"3,keyasint" json:"addr"` // for callers
-	PeerAddr         string `cbor:"4,keyasint" json:"peer"` // for other instances
-	Incarnation      uint64 `cbor:"5,keyasint" json:"incarnation"`
-	FirstIncarnation uint64 `cbor:"6,keyasint" json:"born"` // of the running process; a restarted one has a higher one
-	State            State  `cbor:"7,keyasint" json:"state"`
+	Name             string  `cbor:"1,keyasint" json:"name"`
+	Zone             string  `cbor:"2,keyasint" json:"zone"`
+	Addr             string  `cbor:"3,keyasint" json:"addr"` // for callers
+	PeerAddr         string  `cbor:"4,keyasint" json:"peer"` // for other instances
+	Incarnation      uint64  `cbor:"5,keyasint" json:"incarnation"`
+	FirstIncarnation uint64  `cbor:"6,keyasint" json:"born"` // of the running process; a restarted one has a higher one
+	State            State   `cbor:"7,keyasint" json:"state"`
+	Capacity         float64 `cbor:"8,keyasint,omitempty" json:"capacity,omitempty"` // processing power in cores; zero if unknown
 }
 
 // WithState returns a copy with another state.
@@ -100,22 +101,7 @@
 func (v View) Rank(key string) []Member { return Rank(v.Live(), key) }
 
 // RankedWithin reports whether the named instance is among the first n that Rank returns for a key.
-func (v View) RankedWithin(name, key string, n int) bool {
-	hashed := xxhash.Sum64String(key)
-	own := score(hashed, name)
-	higher, found := 0, false
-	for _, m := range v.Members {
-		if !m.live() {
-			continue
-		}
-		if m.Name == name {
-			found = true
-		} else if score(hashed, m.Name) > own {
-			higher++
-		}
-	}
-	return found && higher < n
-}
+func (v View) RankedWithin(name, key string, n int) bool { return RankedWithin(v.Live(), name, key, n) }
 
 // Rank returns a copy of members ordered by rendezvous hash for a key.
 func Rank(members []Member, key string) []Member {
