--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -17,7 +17,10 @@
 	defaultWatchDuration = 10 * clock.Second     // how long the source holds a watch call open
 	firstReadInterval    = 200 * clock.Millis(1) // between attempts to read a first version while the source does not answer
 	emptySourceInterval  = clock.Second          // between attempts while the source answers that there is no version yet
-	retryDelay           = 500 * clock.Millis(1)
+	retryDelay           = 500 * clock.Millis(1) // after a failed watch; doubled for each consecutive one
+	maxRetryDelay        = 2 * clock.Second      // after several failures of the source
+	maxBackoffSteps      = 4                     // doublings of retryDelay; enough for maxRetryDelay
+	maxFirstFetches      = 3                     // peers asked at once for a first version
 	maxFirstReads        = 4                     // concurrent attempts to read a first version
 	fetchTimeout         = 600 * clock.Millis(1) // of a fetch from a peer, after which the source is polled instead
 	coalesceDelay        = 100 * clock.Millis(1) // after a change, so that a burst of changes costs one watch call
@@ -30,6 +33,7 @@
 	Watch         func(ctx context.Context, above uint64, wait clock.Millis) (store.Object, error)
 	Fetch         func(ctx context.Context, peer string) (store.Object, error) // reads the object from another instance
 	Peers         func() []string                                              // addresses of the other instances
+	ReadsFirst    func() bool                                                  // whether a first version is read from the source too; nil for always
 	ShouldWatch   func() bool                                                  // whether this instance watches the source
 	PollInterval  func() clock.Millis                                          // between polls of the source, watching or not
 	Apply         func(o store.Object) error                                   // validates and activates a newer version
@@ -40,6 +44,7 @@
 	mu           sync.Mutex
 	current      atomic.Pointer[store.Object]
 	hints        chan hint
+	peerAnswered atomic.Bool   // a peer has answered a fetch, with a version or without
 	lastSuccess  atomic.Int64  // when the source last answered, milliseconds since the epoch
 	firstReads   atomic.Int32  // attempts to read a first version that are in progress
 	lastFailure  atomic.Int64  // when the source last failed to answer, milliseconds since the epoch
@@ -109,7 +114,7 @@
 		first := f.Current().Version == 0
 		if first {
 			wait = firstReadInterval
-			if f.LastSuccess() > 0 {
+			if f.LastSuccess() > 0 || f.peerAnswered.Load() {
 				wait = emptySourceInterval
 			}
 			f.startFirstRead(ctx)
@@ -146,14 +151,26 @@
 func (f *Feed) readFirst(ctx context.Context) {
 	var group sync.WaitGroup
 	peers := f.Peers()
-	for _, peer := range peers[:min(len(peers), 3)] {
+	for _, peer := range peers[:min(len(peers), f.firstFetches())] {
 		group.Go(func() { f.fetchFromPeer(ctx, peer) })
 	}
-	group.Go(func() { f.poll(ctx) })
+	if f.ReadsFirst == nil || f.ReadsFirst() {
+		group.Go(func() { f.poll(ctx) })
+	}
 	group.Wait()
 }
 
+// firstFetches returns how many peers are asked for a first version at once: fewer when they have answered that they have
+// none either.
+func (f *Feed) firstFetches() int {
+	if f.peerAnswered.Load() {
+		return 1
+	}
+	return maxFirstFetches
+}
+
 func (f *Feed) watch(ctx context.Context) {
+	failures := 0
 	for ctx.Err() == nil {
 		if !f.ShouldWatch() || f.Current().Version == 0 {
 			_ = clock.Sleep(ctx, retryDelay)
@@ -168,9 +185,11 @@
 		cancel()
 		if err != nil {
 			f.recordFailure("watch", err)
-			_ = clock.Sleep(ctx, retryDelay)
+			_ = clock.Sleep(ctx, min(retryDelay<<failures, maxRetryDelay))
+			failures = min(failures+1, maxBackoffSteps)
 			continue
 		}
+		failures = 0
 		f.lastSuccess.Store(int64(clock.Now()))
 		if f.applyIfNewer(o) {
 			_ = clock.Sleep(ctx, coalesceDelay)
@@ -222,6 +241,7 @@
 		f.recordFailure("fetch", err)
 		return
 	}
+	f.peerAnswered.Store(true)
 	f.applyIfNewer(o)
 }
 
