--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -17,6 +17,7 @@
 	defaultWatchDuration = 10 * clock.Second     // how long the source holds a watch call open
 	firstReadInterval    = 200 * clock.Millis(1) // between attempts to read a first version while the source does not answer
 	emptySourceInterval  = clock.Second          // between attempts while the source answers that there is no version yet
+	emptyPeersInterval   = 300 * clock.Millis(1) // between attempts while only peers answer that they have none
 	retryDelay           = 500 * clock.Millis(1) // after a failed watch; doubled for each consecutive one
 	maxRetryDelay        = 2 * clock.Second      // after several failures of the source
 	maxBackoffSteps      = 4                     // doublings of retryDelay; enough for maxRetryDelay
@@ -114,8 +115,11 @@
 		first := f.Current().Version == 0
 		if first {
 			wait = firstReadInterval
-			if f.LastSuccess() > 0 || f.peerAnswered.Load() {
+			switch {
+			case f.LastSuccess() > 0:
 				wait = emptySourceInterval
+			case f.peerAnswered.Load():
+				wait = emptyPeersInterval
 			}
 			f.startFirstRead(ctx)
 		}
