--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -6,8 +6,11 @@
 	"log/slog"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/corianderpier/corianderpier/internal/board"
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/ticket"
@@ -170,34 +173,63 @@
 }
 
 // handleServerError handles an answer with a 5xx status: the request is retried if that is allowed, and otherwise the error
-// is forwarded.
+// is forwarded, unless it is too long to be kept.
 func (s *requestState) handleServerError(p *board.Placement, answer *Answer) (string, bool) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	body, whole, err := readBuffered(answer.Body)
 	p.End(board.Failed)
 	if s.retryable() && s.takeRetry() {
 		countFailedAttempt("error_answer")
 		return "", true
 	}
-	if err != nil || s.responseStarted {
+	if err != nil || !whole || s.responseStarted {
 		return "", false
 	}
 	s.writeAnswer(answer, body)
 	return "error", false
 }
 
-// forwardWhole reads an answer that is not a stream completely and then forwards it.
+// readBuffered reads the first maxBufferedBytes of a body, and reports whether that is the whole body.
+func readBuffered(body io.Reader) (data []byte, whole bool, err error) {
+	data, err = io.ReadAll(io.LimitReader(body, maxBufferedBytes+1))
+	return data, len(data) <= maxBufferedBytes, err
+}
+
+// forwardWhole forwards an answer that is not a stream. A short one is read completely before.
 func (s *requestState) forwardWhole(ctx context.Context, p *board.Placement, answer *Answer) (string, bool) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	if length, err := strconv.Atoi(answer.Header.Get("Content-Length")); err == nil && length > maxAnswerBytes {
+		return s.handleFailure(ctx, p, &Error{Op: "read", Kind: Broken, Err: eris.Errorf("answer of %d bytes is too long", length)})
+	}
+	body, whole, err := readBuffered(answer.Body)
 	if err != nil {
 		return s.handleFailure(ctx, p, &Error{Op: "read", Kind: Broken, Err: err})
 	}
 	s.mayHaveRun = true
-	p.End(board.Succeeded)
 	s.timeToFirstEvent = clock.Now() - s.Arrived
+	if !whole {
+		return s.forwardLarge(p, answer, body)
+	}
+	p.End(board.Succeeded)
 	s.writeAnswer(answer, body)
 	return "answered", false
 }
 
+// forwardLarge forwards an answer as it arrives, after its first part. If it breaks or is too long, the connection to the
+// caller is closed.
+func (s *requestState) forwardLarge(p *board.Placement, answer *Answer, first []byte) (string, bool) {
+	s.responseStarted = true
+	s.writeAnswer(answer, first)
+	limit := int64(maxAnswerBytes - len(first))
+	copied, err := io.Copy(s.w, io.LimitReader(answer.Body, limit))
+	if err == nil && copied < limit {
+		p.End(board.Succeeded)
+		return "answered", false
+	}
+	slog.Info("answer not complete", "request", s.ID, "target", p.Target.ID, "bytes", copied, "error", err)
+	p.End(board.Failed)
+	countFailedAttempt("incomplete_answer")
+	return s.abort("incomplete_answer"), false
+}
+
 // writeAnswer sends an answer of a target, with the given body, to the caller.
 func (s *requestState) writeAnswer(answer *Answer, body []byte) {
 	copyHeader(s.w.Header(), answer.Header)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	maxAnswerBytes         = 16 << 20               // read of an answer that is not a stream
+	maxAnswerBytes         = 16 << 20               // of an answer that is not a stream; a longer one fails
+	maxBufferedBytes       = 64 << 10               // of such an answer that are read before the caller gets any, so that it may be retried
 	maxUnreachableTargets  = 3                      // targets of a request that may prove unreachable without counting as attempts
 	stallTimeout           = 1200 * clock.Millis(1) // without an event, after which an attempt at a target that is reported down is cancelled
 	stallCheckInterval     = 200 * clock.Millis(1)
