target: Bound headers, comments and answers of targets

Cause: the header had the default limit of 10 MB; comments and empty lines renewed the stall timer for as long as they came; an answer that was followed by spaces without end was read to the limit and taken as whole. Ruled out: chunk extensions, trailers and interim answers, which net/http ends. Change: 64 KiB for a header and for what comes between frames; an answer above its limit fails.

--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -21,7 +21,9 @@
 	dialTimeout         = 500 * time.Millisecond
 	controlTimeout      = clock.Second // of each call through controlClient
 	maxEventBytes       = 1 << 20
-	maxAnswerBytes      = 1 << 20 // of an answer that is not a stream
+	maxAnswerBytes      = 1 << 20  // of an answer that is not a stream; a longer one fails
+	maxHeaderBytes      = 64 << 10 // of an answer
+	maxCommentBytes     = 64 << 10 // between two frames of a stream; comments tell that an engine still works
 	maxIdleConnsPerHost = 32
 	idleConnTimeout     = 30 * time.Second
 )
@@ -41,11 +43,11 @@
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	c.streamClient = &http.Client{Transport: &http.Transport{
-		DialContext:       dialer.DialContext,
+		DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableKeepAlives: true, // the rest of an abandoned answer must not be read as the answer to the next request
 	}}
 	c.controlClient = &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxHeaderBytes,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 	}}
@@ -93,18 +95,20 @@
 
 // frameChecker forwards frames that continue the answer of one attempt and rejects all others.
 type frameChecker struct {
-	attempt  string
-	offset   int // bytes of text accepted so far, counted from the start of the answer
-	complete bool
-	onFrame  func(engine.Frame) error // called with each accepted frame
+	attempt      string
+	offset       int // bytes of text accepted so far, counted from the start of the answer
+	complete     bool
+	commentBytes int                      // received since the last frame
+	onFrame      func(engine.Frame) error // called with each accepted frame
 }
 
 // checkLine checks one line of the event stream and forwards the frame in it; lines other than data are ignored.
 func (c *frameChecker) checkLine(line []byte) error {
 	data, ok := bytes.CutPrefix(line, []byte("data: "))
 	if !ok {
-		return nil
+		return c.countComment(line)
 	}
+	c.commentBytes = 0
 	var frame engine.Frame
 	if err := json.Unmarshal(data, &frame); err != nil {
 		return c.mismatch("malformed")
@@ -123,6 +127,14 @@
 	return c.onFrame(frame)
 }
 
+// countComment fails if too much other than frames has arrived since the last frame.
+func (c *frameChecker) countComment(line []byte) error {
+	if c.commentBytes += len(line) + 1; c.commentBytes > maxCommentBytes {
+		return &Error{Op: "stream", Kind: Broken, Err: eris.Errorf("more than %d bytes without a frame", maxCommentBytes)}
+	}
+	return nil
+}
+
 // mismatch counts a rejected frame and returns the error; what is the field that differs.
 func (c *frameChecker) mismatch(what string) error {
 	metrics.GetOrCreateCounter(`pier_target_foreign_total{what="` + what + `"}`).Inc()
@@ -142,6 +154,9 @@
 	if err != nil {
 		return "", 0, &Error{Op: "act", Kind: Broken, Err: err}
 	}
+	if len(body) > maxAnswerBytes {
+		return "", 0, &Error{Op: "act", Kind: Broken, Err: eris.Errorf("answer is longer than %d bytes", maxAnswerBytes)}
+	}
 	if err := json.Unmarshal(body, &result); err != nil {
 		return "", 0, &Error{Op: "act", Kind: Broken, Err: err}
 	}
