member: Keep hundreds of instances apart from the dead

Cause: at 295 instances the start fills the queue of rumors, 6 a packet, so that a suspicion, and the word of the suspected that it lives, waited for seconds behind news of joins, longer than the 1.5 s until a suspect counts as dead. Ruled out: lost datagrams (the test loses none); probes that go unanswered (the instances that were taken for dead answered them). Change: urgent rumors go first and to three peers at a time; a suspect is told at once; the time until death grows with the digits of the number of members; lists are exchanged each second while that brings many instances. Before: TestRefutationInLargeFleet failed; in TestFleetStart the worst view had 234 of 300 after 10 s. After: both pass. The digest is kept with the view.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -18,13 +18,14 @@
 	probeInterval    = clock.Second           // between probes
 	directTimeout    = 250 * clock.Millis(1)  // until other instances are asked to probe
 	probeTimeout     = 900 * clock.Millis(1)  // without an ack, until the probed instance is suspected
-	suspectTimeout   = 1500 * clock.Millis(1) // until a suspected instance is considered dead
+	suspectTimeout   = 1500 * clock.Millis(1) // until a suspected instance is considered dead; for each decimal digit of the number of members after the first
 	maxTickGap       = 3 * probeInterval / 2  // a longer gap between ticks means that this process was paused
 	indirectProbers  = 3                      // instances asked to probe a peer that has not answered
 	rumorsPerPacket  = 6
+	urgentFanout     = 3                 // peers that get urgent rumors at each gossipInterval
 	retransmitFactor = 4                 // transmissions of one rumor for each decimal digit of the number of members
 	deadProbeTicks   = 5                 // ticks between probes of one dead instance
-	minSyncTicks     = 5                 // between exchanges of whole lists
+	minSyncTicks     = 5                 // between exchanges of whole lists that bring little
 	forgetAfter      = 10 * clock.Minute // after which a dead instance is removed from the list
 	gossipInterval   = probeInterval / 5 // between rumors sent outside of probes
 )
@@ -76,9 +77,11 @@
 	ticks          int               // number of probe intervals since the start
 	lastTickAt     time.Time
 	lastSyncTick   int // 0 before the first exchange of lists
+	syncLearned    int // instances that exchanges of lists have brought since then
 	viewVersion    uint64
-	merging        bool // a list is being merged; the view is published at its end
-	viewChanged    bool // the view is to be published at the end of the merge
+	merging        bool   // a list is being merged; the view is published at its end
+	memberDigest   uint64 // of the members in the view
+	viewChanged    bool   // the view is to be published at the end of the merge
 	view           atomic.Pointer[View]
 	lastHeard      atomic.Int64 // time of the last packet from a peer, in milliseconds
 }
@@ -219,6 +222,7 @@
 	g.Self = g.Self.WithIncarnation(m.Incarnation + 1)
 	g.queueMember(g.Self)
 	g.publishView()
+	g.sendGossip()
 }
 
 // setMember records the new state of an instance and queues it for the others.
@@ -263,6 +267,7 @@
 	}
 	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
 	g.viewVersion++
+	g.memberDigest = digestOf(members)
 	g.view.Store(&View{Members: members, Version: g.viewVersion})
 	if g.OnChange != nil {
 		g.OnChange()
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -27,6 +27,16 @@
 	}
 }
 
+func (n *fakeNetwork) sync(_ context.Context, addr string, l List) (List, error) {
+	n.mu.Lock()
+	g := n.groups[addr]
+	n.mu.Unlock()
+	if g == nil {
+		return List{}, fmt.Errorf("not reached")
+	}
+	return g.ExchangeLists(l), nil
+}
+
 func (n *fakeNetwork) start(t *testing.T, number int) *Group {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -34,7 +44,7 @@
 	g := &Group{
 		Self: memberNumber(number), Loop: loop.New(), Send: n.send, Versions: func() Versions { return Versions{} },
 		ProbeDirect: func(context.Context, string) error { return fmt.Errorf("not reached") },
-		SyncLists:   func(context.Context, string, List) (List, error) { return List{}, fmt.Errorf("not reached") },
+		SyncLists:   n.sync,
 	}
 	g.Init()
 	n.mu.Lock()
@@ -75,3 +85,66 @@
 	v.Members[2] = memberNumber(2)
 	is.Equal(len(v.Reachable("entry-0")), 2)
 }
+
+// Pattern: hundreds of instances start at once, and each joins through one of the first. Nobody who runs is taken for dead,
+// and all soon know each other.
+func TestFleetStart(t *testing.T) {
+	if testing.Short() {
+		t.Skip("needs several seconds of processor time")
+	}
+	is := is.New(t)
+	const instances = 300
+	network := &fakeNetwork{groups: make(map[string]*Group)}
+	groups := make([]*Group, instances)
+	for n := range groups {
+		groups[n] = network.start(t, n)
+	}
+	for n, g := range groups { // the first three are the seeds of the others and of each other
+		g.ExchangeLists(groups[(n+1)%3].ExchangeLists(List{Members: []Member{g.Self}}))
+	}
+	for range 10 {
+		time.Sleep(time.Second)
+		t.Log("fewest reachable", fewestReachable(groups))
+	}
+	for _, g := range groups {
+		for _, m := range g.View().Members {
+			is.True(m.State != Dead)
+		}
+	}
+	is.Equal(fewestReachable(groups), instances)
+}
+
+// Pattern: a process of a large fleet is paused for longer than a probe takes, and goes on. It says that it lives before
+// others take it for dead.
+func TestRefutationInLargeFleet(t *testing.T) {
+	is := is.New(t)
+	const instances = 300
+	network := &fakeNetwork{groups: make(map[string]*Group)}
+	var members []Member
+	groups := make([]*Group, instances)
+	for n := range groups {
+		groups[n] = network.start(t, n)
+		members = append(members, groups[n].Self)
+	}
+	for _, g := range groups {
+		g.ExchangeLists(List{Members: members})
+	}
+	time.Sleep(time.Second)
+	suspected := groups[7]
+	groups[0].Loop.Call(func() { groups[0].setMember(groups[0].members[suspected.Self.Name].WithState(Suspect)) })
+	time.Sleep(6 * time.Second)
+	for _, g := range groups {
+		for _, m := range g.View().Members {
+			is.True(m.State != Dead)
+		}
+	}
+}
+
+// fewestReachable returns the smallest number of instances that one of the groups takes for reachable.
+func fewestReachable(groups []*Group) int {
+	fewest := len(groups)
+	for _, g := range groups {
+		fewest = min(fewest, len(g.View().Reachable(g.Self.Name)))
+	}
+	return fewest
+}
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -67,9 +68,10 @@
 // forgetAfter.
 func (g *Group) expireMembers() {
 	now := clock.Now()
+	limit := suspectTimeout * clock.Millis(max(1, len(strconv.Itoa(len(g.members)))-1)) // rumors take longer to spread in a larger group
 	for name, k := range g.members {
 		switch {
-		case k.State == Suspect && now-k.since > suspectTimeout:
+		case k.State == Suspect && now-k.since > limit:
 			g.setMember(k.WithState(Dead))
 		case k.State == Dead && now-k.since > forgetAfter:
 			delete(g.members, name)
@@ -151,7 +153,9 @@
 		return
 	}
 	metrics.GetOrCreateCounter("pier_member_suspected_total").Inc()
-	g.setMember(k.WithState(Suspect))
+	suspected := k.WithState(Suspect)
+	g.setMember(suspected)
+	g.transmit(k.PeerAddr, packet{Kind: gossip, Rumors: []Rumor{{Member: &suspected}}}) // it may refute this at once
 }
 
 // probeDead sends a packet to one dead instance that is due, so that the two sides of a healed partition find each other
--- a/internal/member/rumor.go
+++ b/internal/member/rumor.go
@@ -1,9 +1,10 @@
 package member
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
-	"sort"
+	"slices"
 	"strconv"
 )
 
@@ -27,9 +28,10 @@
 
 // queuedRumor is a rumor that is sent with the next packets.
 type queuedRumor struct {
-	rumor Rumor
-	key   string // identifies the subject; a newer rumor with the same key replaces it
-	sent  int    // number of packets that have carried it
+	rumor  Rumor
+	key    string // identifies the subject; a newer rumor with the same key replaces it
+	sent   int    // number of packets that have carried it
+	urgent bool   // it is sent before others, as a wrong view lasts until it has spread
 }
 
 // addLeavingTarget records that a target takes no new work and tells the others.
@@ -38,15 +40,18 @@
 		return
 	}
 	g.leavingTargets[target] = true
-	g.queueRumor(&queuedRumor{rumor: Rumor{TargetLeaving: &TargetLeaving{Target: target}}, key: "t/" + target})
+	g.queueRumor(&queuedRumor{rumor: Rumor{TargetLeaving: &TargetLeaving{Target: target}}, key: "t/" + target, urgent: true})
 	if g.OnTargetLeaving != nil {
 		g.OnTargetLeaving(target)
 	}
 	g.sendGossip()
 }
 
+// queueMember queues the state of an instance. A suspicion, a death or the refutation of one is urgent; that an instance has
+// joined is not, as lists tell of it too.
 func (g *Group) queueMember(m Member) {
-	g.queueRumor(&queuedRumor{rumor: Rumor{Member: &m}, key: "m/" + m.Name})
+	urgent := m.State != Alive || m.Incarnation > m.FirstIncarnation
+	g.queueRumor(&queuedRumor{rumor: Rumor{Member: &m}, key: "m/" + m.Name, urgent: urgent})
 }
 
 // queueRumor queues a rumor in place of an older one about the same subject.
@@ -60,21 +65,36 @@
 	g.rumors = append(g.rumors, added)
 }
 
-// sendGossip sends queued rumors to a random peer, so that they need not wait for the next probe.
+// sendGossip sends queued rumors to random peers, so that they need not wait for the next probe.
 func (g *Group) sendGossip() {
 	if len(g.rumors) == 0 || len(g.members) == 0 {
 		return
 	}
+	count := 1
+	if slices.ContainsFunc(g.rumors, func(q *queuedRumor) bool { return q.urgent }) {
+		count = urgentFanout
+	}
 	peers := g.View().NotDead()
-	to := peers[rand.IntN(len(peers))]
-	if to.Name != g.Self.Name {
-		g.transmit(to.PeerAddr, packet{Kind: gossip})
+	for range count {
+		to := peers[rand.IntN(len(peers))]
+		if to.Name != g.Self.Name && len(g.rumors) > 0 {
+			g.transmit(to.PeerAddr, packet{Kind: gossip})
+		}
 	}
 }
 
-// takeRumors returns the queued rumors that were sent least often, and drops those that were sent often enough.
+// takeRumors returns the next queued rumors, and drops those that were sent often enough. Urgent ones go first, and then
+// those that were sent least often.
 func (g *Group) takeRumors() []Rumor {
-	sort.SliceStable(g.rumors, func(i, j int) bool { return g.rumors[i].sent < g.rumors[j].sent })
+	slices.SortStableFunc(g.rumors, func(a, b *queuedRumor) int {
+		if a.urgent != b.urgent {
+			if a.urgent {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.sent, b.sent)
+	})
 	limit := retransmitFactor * len(strconv.Itoa(len(g.members)))
 	var rumors []Rumor
 	for _, queued := range g.rumors[:min(len(g.rumors), rumorsPerPacket)] {
@@ -91,12 +111,18 @@
 	return rumors
 }
 
-// syncWith exchanges lists with a peer whose digest differs, at most once each minSyncTicks.
+// syncWith exchanges lists with a peer whose digest differs, at most once each minSyncTicks, or each tick while exchanges
+// bring much that rumors would take long to tell.
 func (g *Group) syncWith(peer Member) {
-	if g.ticks-g.lastSyncTick < minSyncTicks && g.lastSyncTick != 0 {
+	wait := minSyncTicks
+	if g.syncLearned > rumorsPerPacket {
+		wait = 1
+	}
+	if g.ticks-g.lastSyncTick < wait && g.lastSyncTick != 0 {
 		return
 	}
 	g.lastSyncTick = max(g.ticks, 1)
+	g.syncLearned = 0
 	own := g.ownList()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeInterval.Duration())
@@ -110,6 +136,7 @@
 
 // mergeList applies a peer's list. The view is published once, as that sorts all members.
 func (g *Group) mergeList(l List) {
+	before := len(g.members)
 	g.merging = true
 	for _, m := range l.Members {
 		g.mergeMember(m)
@@ -119,6 +146,7 @@
 		g.viewChanged = false
 		g.publishView()
 	}
+	g.syncLearned += len(g.members) - before
 	for _, target := range l.LeavingTargets {
 		g.addLeavingTarget(target)
 	}
@@ -134,9 +162,12 @@
 
 // digest summarizes the list for comparison with a peer's. It is a sum, which does not depend on the order, so that
 // neither side has to sort.
-func (g *Group) digest() uint64 {
-	sum := uint64(len(g.leavingTargets))
-	for _, m := range g.View().Members {
+func (g *Group) digest() uint64 { return g.memberDigest + uint64(len(g.leavingTargets)) }
+
+// digestOf returns the part of the members in the digest.
+func digestOf(members []Member) uint64 {
+	sum := uint64(0)
+	for _, m := range members {
 		if m.State != Dead {
 			sum += memberHash(m)
 		}
