--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -89,9 +89,6 @@
 // Pattern: hundreds of instances start at once, and each joins through one of the first. Nobody who runs is taken for dead,
 // and all soon know each other.
 func TestFleetStart(t *testing.T) {
-	if testing.Short() {
-		t.Skip("needs several seconds of processor time")
-	}
 	is := is.New(t)
 	const instances = 300
 	network := &fakeNetwork{groups: make(map[string]*Group)}
