board: Compare a part of a large fleet when a prompt is divided

Cause: a prompt that is divided was tried with each number of parts on each engine, twice: 16 ms of processor time at 135 engines (BenchmarkPlace, beside load), 20 ms on an instance with 0.8 of a core, during which it does nothing else on its control loop; at 600 engines 70 ms by the same slope. Ruled out: fewer numbers of parts, which small sites need. Change: engines are compared once for a part of average size, and only the 48 best for each number of parts. With 48 engines or fewer nothing changes. Test: TestLongPromptInLargeFleet.

--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -26,7 +28,7 @@
 )
 
 // newBoards returns the boards of several instances that share targets; each broadcast reaches all others.
-func newBoards(t *testing.T, instances, engines int) []*Board {
+func newBoards(t testing.TB, instances, engines int) []*Board {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -60,7 +62,7 @@
 }
 
 // place places a request with a deadline in 10 s, and fails the test if that is refused.
-func place(t *testing.T, b *Board, r Requirements) *Placement {
+func place(t testing.TB, b *Board, r Requirements) *Placement {
 	t.Helper()
 	r.Deadline = clock.Now() + 10*clock.Second
 	p, err := b.Place(r)
@@ -229,6 +231,27 @@
 	}
 }
 
+// Pattern: a long prompt arrives at a fleet of hundreds of engines, most of which are in use. It is divided among those that
+// are idle, though only some engines are compared for each number of parts.
+func TestLongPromptInLargeFleet(t *testing.T) {
+	is := is.New(t)
+	const engines, idle = 200, 24
+	b := newBoards(t, 1, engines)[0]
+	for n := range engines - idle {
+		for range 3 {
+			placeOn(t, b, medium, fmt.Sprint("engine-", n))
+		}
+	}
+	p := place(t, b, long)
+	is.True(len(p.Helpers) > 0)
+	is.True(p.PredictedFirstEvent < long.FirstEventSLO)
+	for _, id := range append(p.HelperIDs(), p.Target.ID) {
+		n, err := strconv.Atoi(strings.TrimPrefix(id, "engine-"))
+		is.NoErr(err)
+		is.True(n >= engines-idle)
+	}
+}
+
 // A request is removed from all boards when its instance ends it, or has not broadcast it for instanceTimeout.
 func TestRequestRemoval(t *testing.T) {
 	is := is.New(t)
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -11,6 +11,8 @@
 const (
 	maxPartsShare    = 0.75                   // of the engines: the most that prefill one prompt, so that some stay free for short prompts
 	maxParts         = 16                     // most engines that prefill one prompt
+	maxShortlist     = 3 * maxParts           // engines among which a prompt is divided
+	shortlistParts   = maxParts / 4           // number of parts by which engines are compared for that
 	spreadThreshold  = 0.2                    // of FirstEventSLO: only prompts whose prefill takes longer are divided among engines, unless memory requires it
 	extraPartCost    = 0.003                  // of the request's value, per additional engine, since later prompts find fewer free engines
 	maxMemoryShare   = 0.9                    // of an engine's memory: the most that requests may hold
@@ -65,6 +67,9 @@
 		if parts > 1 && fitsOne && targets[0].schedule.Engine.PrefillTime(req.PromptTokens) < spreadThreshold*slo {
 			break
 		}
+		if parts == 2 {
+			targets = shortlist(now, req, targets, !fitsOne)
+		}
 		option := chooseParts(now, req, targets, parts, !fitsOne, random)
 		if option.primary != nil && (best.primary == nil || option.cost < best.cost) {
 			best = option
@@ -73,6 +78,26 @@
 	return best
 }
 
+// shortlist returns the engines that prefill parts of a prompt at the least cost, so that the time to choose among numbers
+// of parts does not grow with the fleet. With split, engines without the memory for the smallest part are left out.
+func shortlist(now clock.Millis, req Requirements, targets []*targetState, split bool) []*targetState {
+	if len(targets) <= maxShortlist {
+		return targets
+	}
+	candidates := make([]candidate, 0, len(targets))
+	for _, s := range targets {
+		if !split || s.hasMemory(req.PromptTokens/maxParts) {
+			candidates = append(candidates, s.evaluate(now, req, shortlistParts, true))
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+	cheapest := make([]*targetState, 0, maxShortlist)
+	for _, c := range candidates[:min(maxShortlist, len(candidates))] {
+		cheapest = append(cheapest, c.targetState)
+	}
+	return cheapest
+}
+
 // partsToFit returns a number of parts that suffices for a part of the prompt and the answer to fit into the memory of an
 // idle engine.
 func (r Requirements) partsToFit(targets []*targetState) int {
