platform, board: Divide many active instances and the targets into cells

Cause: active instances tell each other of all placements; at the size to design for (4,200 requests/s, about 100 active instances by the slots of the targets) each would get 10,500 datagrams a second. Ruled out: a home that admits for each engine, a hop for each request whose loss has to be noticed; fewer active instances, which lack the processor time. If that has no usable target, or lacks the memory for a prompt, targets of the other cells are used.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -26,7 +26,8 @@
 	Zone      string // availability zone of this instance
 	Loop      *loop.Loop
 	Engine    func(service string) (model.Engine, bool) // capacity and speed of a service's engines; false for a plain service
-	Broadcast func(data []byte)                         // sends a datagram to all other instances
+	Broadcast func(data []byte)                         // sends a datagram to all other instances of the cell
+	InCell    func(target string) bool                  // whether a target belongs to this instance's cell; nil if all do
 	// Monitors reports whether this instance probes a target. Probe asks a target for its state and returns its slowdown,
 	// the actual duration as a multiple of what its model predicts. A nil Probe disables probing.
 	Monitors func(target string) bool
@@ -146,17 +147,20 @@
 // place is Place on the control loop.
 func (b *Board) place(req Requirements) (*Placement, error) {
 	now := clock.Now()
-	targets := b.eligibleTargets(now, req)
+	targets := b.eligibleTargets(now, req, b.inCell)
+	engine, isEngine := b.Engine(req.Service)
+	if isEngine && req.exceeds(engine, len(targets)) {
+		targets = b.eligibleTargets(now, req, anyCell)
+	}
 	if len(targets) == 0 {
 		return nil, &Error{Op: "place", Kind: NoTarget}
 	}
-	engine, isEngine := b.Engine(req.Service)
 	var chosen choice
 	if isEngine && req.PromptTokens > 0 {
 		for _, s := range targets {
 			s.schedule.Engine = engine
 		}
-		if capacity := engine.Memory * min(len(targets), maxParts); capacity > 0 && req.PromptTokens+req.MaxOutputTokens > capacity {
+		if req.exceeds(engine, len(targets)) {
 			return nil, &Error{Op: "place", Kind: TooLarge}
 		}
 		chosen = chooseEngines(now, req, targets, b.randomness(now, len(targets)))
@@ -189,10 +193,10 @@
 	}
 }
 
-// eligibleTargets returns the targets that may run a request. If there are none, it falls back to ejected targets, and then
-// to the targets that the request excludes.
-func (b *Board) eligibleTargets(now clock.Millis, req Requirements) []*targetState {
-	var usable, ejected, excluded []*targetState
+// eligibleTargets returns the targets that may run a request. If there are none in the cell, it falls back to those of other
+// cells, then to ejected targets, and then to the targets that the request excludes.
+func (b *Board) eligibleTargets(now clock.Millis, req Requirements, inCell func(target string) bool) []*targetState {
+	var usable, elsewhere, ejected, excluded []*targetState
 	for _, s := range b.targets {
 		if s.Service != req.Service || s.delisted || s.Draining {
 			continue
@@ -200,21 +204,28 @@
 		switch {
 		case req.Exclude[s.ID]:
 			excluded = append(excluded, s)
-		case s.usable(now):
+		case s.usable(now) && inCell(s.ID):
 			usable = append(usable, s)
+		case s.usable(now):
+			elsewhere = append(elsewhere, s)
 		default:
 			ejected = append(ejected, s)
 		}
 	}
-	if len(usable) > 0 {
-		return usable
-	}
-	if len(ejected) > 0 {
-		return ejected
+	for _, targets := range [][]*targetState{usable, elsewhere, ejected} {
+		if len(targets) > 0 {
+			return targets
+		}
 	}
 	return excluded
 }
 
+// anyCell is used in place of Board.inCell when targets of all cells are eligible.
+func anyCell(string) bool { return true }
+
+// inCell reports whether a target belongs to this instance's cell.
+func (b *Board) inCell(target string) bool { return b.InCell == nil || b.InCell(target) }
+
 // commit counts a request at the chosen targets and broadcasts the placement.
 func (b *Board) commit(now clock.Millis, req Requirements, chosen choice) *Placement {
 	b.lastNumber++
--- a/internal/board/request.go
+++ b/internal/board/request.go
@@ -37,6 +37,12 @@
 	return float64(r.PromptTokens + outputWeight*r.MaxOutputTokens)
 }
 
+// exceeds reports whether a number of idle engines together lack the memory for the prompt and the answer.
+func (r Requirements) exceeds(engine model.Engine, engines int) bool {
+	capacity := engine.Memory * min(engines, maxParts)
+	return r.PromptTokens > 0 && engine.Memory > 0 && r.PromptTokens+r.MaxOutputTokens > capacity
+}
+
 // ActiveRequest is a placed request as instances broadcast it.
 type ActiveRequest struct {
 	Number          uint64       `cbor:"1,keyasint"` // unique within its instance
