target: Read no answer to a call from a connection of an earlier one

Cause: short calls (reserve, release, state, load) reused connections. A target that sent a second copy of an answer when the next request came had it taken as the next answer: a refused reservation counted as made. Ruled out: streams, operations and orders, and all of the platform's path, which open a connection for each. Change: one client without reuse.

--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -18,38 +18,30 @@
 )
 
 const (
-	dialTimeout         = 500 * time.Millisecond
-	controlTimeout      = clock.Second // of each call through controlClient
-	maxEventBytes       = 1 << 20
-	maxAnswerBytes      = 1 << 20  // of an answer that is not a stream; a longer one fails
-	maxHeaderBytes      = 64 << 10 // of an answer
-	maxCommentBytes     = 64 << 10 // between two frames of a stream; comments tell that an engine still works
-	maxIdleConnsPerHost = 32
-	idleConnTimeout     = 30 * time.Second
+	dialTimeout     = 500 * time.Millisecond
+	controlTimeout  = clock.Second // of each short call
+	maxEventBytes   = 1 << 20
+	maxAnswerBytes  = 1 << 20  // of an answer that is not a stream; a longer one fails
+	maxHeaderBytes  = 64 << 10 // of an answer
+	maxCommentBytes = 64 << 10 // between two frames of a stream; comments tell that an engine still works
 )
 
 // Client sends HTTP requests to targets.
 type Client struct {
 	Scheme string // "http" or "https"
 
-	streamClient  *http.Client // opens a new connection for each stream, operation and order
-	controlClient *http.Client // reuses connections for short calls
+	httpClient *http.Client // opens a new connection for each call
 }
 
-// Init creates the HTTP clients; it is called before any other method.
+// Init creates the HTTP client; it is called before any other method.
 func (c *Client) Init() {
 	if c.Scheme == "" {
 		c.Scheme = "http"
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	c.streamClient = &http.Client{Transport: &http.Transport{
+	c.httpClient = &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxHeaderBytes,
-		DisableKeepAlives: true, // the rest of an abandoned answer must not be read as the answer to the next request
-	}}
-	c.controlClient = &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxHeaderBytes,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleConnTimeout,
+		DisableKeepAlives: true, // a late copy or the rest of an abandoned answer must not be read as the answer to the next request
 	}}
 }
 
@@ -65,7 +57,7 @@
 	defer cancel()
 	stallTimer := time.AfterFunc(stallTimeout.Duration(), cancel)
 	defer stallTimer.Stop()
-	resp, err := c.post(ctx, c.streamClient, addr, path, prompt)
+	resp, err := c.post(ctx, addr, path, prompt)
 	if err != nil {
 		return 0, err
 	}
@@ -144,7 +136,7 @@
 // Act runs an operation on a plain service and returns the body and status of the answer. An error of kind NotProcessed
 // or Leaving proves that the operation did not run.
 func (c *Client) Act(ctx context.Context, addr string, call engine.ActRequest) (string, int, error) {
-	resp, err := c.post(ctx, c.streamClient, addr, engine.PathAct, call)
+	resp, err := c.post(ctx, addr, engine.PathAct, call)
 	if err != nil {
 		return "", 0, err
 	}
@@ -197,7 +189,7 @@
 
 // Order asks an engine to change its state, over a new connection.
 func (c *Client) Order(ctx context.Context, addr string, order engine.Order) error {
-	resp, err := c.post(ctx, c.streamClient, addr, engine.PathOrders, order)
+	resp, err := c.post(ctx, addr, engine.PathOrders, order)
 	if err != nil {
 		return err
 	}
@@ -208,7 +200,7 @@
 func (c *Client) controlCall(ctx context.Context, method, addr, path string, body, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout.Duration())
 	defer cancel()
-	resp, err := c.send(ctx, c.controlClient, method, addr, path, body)
+	resp, err := c.send(ctx, method, addr, path, body)
 	if err != nil {
 		return err
 	}
@@ -223,13 +215,13 @@
 	return nil
 }
 
-func (c *Client) post(ctx context.Context, client *http.Client, addr, path string, body any) (*http.Response, error) {
-	return c.send(ctx, client, http.MethodPost, addr, path, body)
+func (c *Client) post(ctx context.Context, addr, path string, body any) (*http.Response, error) {
+	return c.send(ctx, http.MethodPost, addr, path, body)
 }
 
 // send sends one request; the kind of an error tells whether the target may have processed it. A status of 400 or above
 // is returned as an error.
-func (c *Client) send(ctx context.Context, client *http.Client, method, addr, path string, body any) (*http.Response, error) {
+func (c *Client) send(ctx context.Context, method, addr, path string, body any) (*http.Response, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return nil, &Error{Op: path, Kind: NotProcessed, Err: err}
@@ -239,7 +231,7 @@
 		return nil, &Error{Op: path, Kind: NotProcessed, Err: err}
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := client.Do(req)
+	resp, err := c.httpClient.Do(req)
 	if err != nil {
 		return nil, &Error{Op: path, Kind: transportErrorKind(err), Err: err}
 	}
