pier, loop: Count tries right, and refuse posts after the end

Cause: the loop variable of the tries is one too many after the last; Post picked at random between a queue with room and the end of Run. Before: TestTriesWhenAllFail 4 for 3, TestPostAfterRun failed. After: both pass.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -31,6 +31,11 @@
 
 // Post queues a function and reports whether it was queued. A function still in the queue when Run ends never runs.
 func (l *Loop) Post(f func()) bool {
+	select {
+	case <-l.done:
+		return false
+	default:
+	}
 	select {
 	case <-l.done:
 		return false
--- a/pkg/pier/client.go
+++ b/pkg/pier/client.go
@@ -142,7 +142,8 @@
 	}
 	lastErr := error(&Error{Op: op, Kind: NoEntry, Problem: wire.Problem{Ran: wire.RanNo}})
 	mayHaveRun := false // in one of the tries
-	for *tries = 1; *tries <= limit && ctx.Err() == nil; *tries++ {
+	for n := 1; n <= limit && ctx.Err() == nil; n++ {
+		*tries = n
 		addr, err := c.pickAddress(ctx)
 		if err != nil {
 			lastErr = err
