--- a/internal/relay/error.go
+++ b/internal/relay/error.go
@@ -12,7 +12,6 @@
 	Mismatched     ErrorKind = "foreign"   // the answer belongs to another request, or an event is out of sequence
 	NotRunUnproven ErrorKind = "unproven"  // a status such as 503, without the statement that the request has not run
 	Stalled        ErrorKind = "silent"    // the target is down and sent nothing for stallTimeout
-	CallerGone     ErrorKind = "gone"      // writing to the caller failed
 )
 
 // Error is a failed attempt.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -83,7 +83,6 @@
 	TimedOut     Reason = "timed_out"     // the deadline passed, or was too near for a retry, after a target may have run the request
 	TargetFailed Reason = "target_failed" // a target may have run the request, but gave no complete answer
 	Malformed    Reason = "malformed"     // the request is invalid
-	Draining     Reason = "draining"      // the instance is shutting down
 )
 
 // Refusal is the answer to a caller that gets none from a target.
