--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -15,19 +15,21 @@
 )
 
 const (
-	probeInterval    = clock.Second           // between probes
-	directTimeout    = 250 * clock.Millis(1)  // until other instances are asked to probe
-	probeTimeout     = 900 * clock.Millis(1)  // without an ack, until the probed instance is suspected
-	suspectTimeout   = 1500 * clock.Millis(1) // until a suspected instance is considered dead; for each decimal digit of the number of members after the first
-	maxTickGap       = 3 * probeInterval / 2  // a longer gap between ticks means that this process was paused
-	indirectProbers  = 3                      // instances asked to probe a peer that has not answered
-	rumorsPerPacket  = 6
-	urgentFanout     = 3                 // peers that get urgent rumors at each gossipInterval
-	retransmitFactor = 4                 // transmissions of one rumor for each decimal digit of the number of members
-	deadProbeTicks   = 5                 // ticks between probes of one dead instance
-	minSyncTicks     = 5                 // between exchanges of whole lists that bring little
-	forgetAfter      = 10 * clock.Minute // after which a dead instance is removed from the list
-	gossipInterval   = probeInterval / 5 // between rumors sent outside of probes
+	probeInterval     = clock.Second           // between probes
+	directTimeout     = 250 * clock.Millis(1)  // until other instances are asked to probe
+	probeTimeout      = 900 * clock.Millis(1)  // without an ack, until the probed instance is suspected
+	suspectTimeout    = 1500 * clock.Millis(1) // until a suspected instance is considered dead; for each decimal digit of the number of members after the first
+	maxTickGap        = 3 * probeInterval / 2  // a longer gap between ticks means that this process was paused
+	indirectProbers   = 3                      // instances asked to probe a peer that has not answered
+	rumorsPerPacket   = 6
+	urgentFanout      = 3                    // peers that get urgent rumors at each gossipInterval
+	retransmitFactor  = 4                    // transmissions of one rumor for each decimal digit of the number of members
+	deadProbeTicks    = 5                    // ticks between probes of one dead instance
+	minSyncTicks      = 5                    // between exchanges of whole lists that bring little
+	joinProbes        = 16                   // sent at once to instances that the object API lists
+	joinProbeInterval = 50 * clock.Millis(1) // until the next ones
+	forgetAfter       = 10 * clock.Minute    // after which a dead instance is removed from the list
+	gossipInterval    = probeInterval / 5    // between rumors sent outside of probes
 )
 
 // Versions are the newest versions of the shared objects that an instance holds.
@@ -119,19 +121,37 @@
 	}
 }
 
-// Join adds instances that the object API lists, and probes each at once, since the object API also lists instances that
-// are gone.
+// Join adds instances that the object API lists, and probes each soon, since the object API also lists instances that are
+// gone. The probes are spaced, as the acks of hundreds at once would overflow the receive queue, so that instances that live
+// would be suspected.
 func (g *Group) Join(ctx context.Context, members []Member) {
 	g.Loop.Post(func() {
+		g.merging = true
+		var names []string
 		for _, m := range members {
 			g.mergeMember(m)
 			if k := g.members[m.Name]; k != nil && k.live() {
-				g.sendProbe(ctx, m.Name)
+				names = append(names, m.Name)
 			}
 		}
+		g.endMerge()
+		g.probeSpaced(ctx, names)
 	})
 }
 
+// probeSpaced probes some instances now and the rest after joinProbeInterval.
+func (g *Group) probeSpaced(ctx context.Context, names []string) {
+	batch := names[:min(len(names), joinProbes)]
+	for _, name := range batch {
+		if k := g.members[name]; k != nil && k.live() {
+			g.sendProbe(ctx, name)
+		}
+	}
+	if rest := names[len(batch):]; len(rest) > 0 && ctx.Err() == nil {
+		time.AfterFunc(joinProbeInterval.Duration(), func() { g.Loop.Post(func() { g.probeSpaced(ctx, rest) }) })
+	}
+}
+
 // Leave tells the others that this instance takes no new work.
 func (g *Group) Leave() {
 	g.Loop.Call(func() {
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -14,11 +14,17 @@
 
 // fakeNetwork carries datagrams between groups in one process and drops those to addresses without a group.
 type fakeNetwork struct {
+	receive map[string]func(plaintext []byte) // for addresses that do not receive at once; set before groups start
+
 	mu     sync.Mutex
 	groups map[string]*Group
 }
 
 func (n *fakeNetwork) send(addr string, plaintext []byte) {
+	if receive := n.receive[addr]; receive != nil {
+		receive(plaintext)
+		return
+	}
 	n.mu.Lock()
 	g := n.groups[addr]
 	n.mu.Unlock()
@@ -144,3 +150,38 @@
 	}
 	return fewest
 }
+
+// Pattern: an instance of a fleet starts and learns of all others by the list in the object API. Its receive queue holds
+// few datagrams, so that not all may answer at once; none is suspected.
+func TestJoinLargeFleet(t *testing.T) {
+	is := is.New(t)
+	const instances, queueLength = 100, 32
+	queue := make(chan []byte, queueLength)
+	network := &fakeNetwork{groups: make(map[string]*Group), receive: map[string]func([]byte){
+		memberNumber(0).PeerAddr: func(plaintext []byte) {
+			select {
+			case queue <- plaintext:
+			default: // lost
+			}
+		},
+	}}
+	fresh := network.start(t, 0)
+	go func() { // as an instance reads datagrams, one after the other
+		for payload := range queue {
+			fresh.Receive(payload)
+			time.Sleep(200 * time.Microsecond)
+		}
+	}()
+	var list []Member
+	for n := 1; n < instances; n++ {
+		network.start(t, n)
+		list = append(list, memberNumber(n))
+	}
+	fresh.Join(context.Background(), list)
+	fewest := instances
+	for range 30 {
+		time.Sleep(100 * time.Millisecond)
+		fewest = min(fewest, len(fresh.View().Reachable(memberNumber(0).Name)))
+	}
+	is.Equal(fewest, instances)
+}
--- a/internal/member/rumor.go
+++ b/internal/member/rumor.go
@@ -141,15 +141,20 @@
 	for _, m := range l.Members {
 		g.mergeMember(m)
 	}
+	g.endMerge()
+	g.syncLearned += len(g.members) - before
+	for _, target := range l.LeavingTargets {
+		g.addLeavingTarget(target)
+	}
+}
+
+// endMerge publishes the view if a merge of several members has changed it.
+func (g *Group) endMerge() {
 	g.merging = false
 	if g.viewChanged {
 		g.viewChanged = false
 		g.publishView()
 	}
-	g.syncLearned += len(g.members) - before
-	for _, target := range l.LeavingTargets {
-		g.addLeavingTarget(target)
-	}
 }
 
 func (g *Group) ownList() List {
