--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -19,6 +19,7 @@
 	maxCount           = 10_000 // of requests on one target, of engines, and of concurrent loads
 )
 
+// namePattern matches the names of instances, availability zones, services, customers and profiles.
 var namePattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
 
 // Problem is an invalid value in a configuration or settings file.
@@ -110,7 +111,7 @@
 	seen := make(map[string]bool, n)
 	for i := range n {
 		at := fmt.Sprintf("%s[%d].name", list, i)
-		if !namePattern.MatchString(name(i)) {
+		if !ValidName(name(i)) {
 			k.addProblem(at, fmt.Sprintf("%q", name(i)), "a lower-case letter, then up to 62 letters, digits and hyphens")
 		}
 		if seen[name(i)] {
@@ -130,3 +131,7 @@
 func (k *checker) addProblem(field, got, allowed string) {
 	k.problems = append(k.problems, Problem{Field: field, Got: got, Allowed: allowed})
 }
+
+// ValidName reports whether a name has only lower-case letters, digits and hyphens, begins with a letter and has at most 63
+// characters.
+func ValidName(name string) bool { return namePattern.MatchString(name) }
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/url"
-	"regexp"
 	"strings"
 
 	"github.com/corianderpier/corianderpier/internal/config"
@@ -15,8 +14,6 @@
 
 const minClusterKeyBytes = 16
 
-var namePattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
-
 // Settings are the start parameters of an entry instance.
 type Settings struct {
 	Name               string // of the instance
@@ -62,8 +59,8 @@
 		}
 	}
 	const names = "a lower-case letter, then up to 62 letters, digits and hyphens"
-	add(!namePattern.MatchString(s.Name), "name", s.Name, names)
-	add(!namePattern.MatchString(s.Zone), "zone", s.Zone, names)
+	add(!config.ValidName(s.Name), "name", s.Name, names)
+	add(!config.ValidName(s.Zone), "zone", s.Zone, names)
 	add(!isAddrPort(s.CallersAddr), "listen", s.CallersAddr, "an IP address and a port")
 	add(!isAddrPort(s.PeerAddr), "peer", s.PeerAddr, "an IP address and a port")
 	add(s.AdvertisedPeerAddr != "" && !isAddrPort(s.AdvertisedPeerAddr), "advertise", s.AdvertisedPeerAddr, "an IP address and a port, or nothing")
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -1,7 +1,6 @@
 package stage
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -9,15 +8,12 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/corianderpier/corianderpier/internal/config"
-	"github.com/corianderpier/corianderpier/internal/engine"
 	"github.com/corianderpier/corianderpier/internal/entry"
-	"github.com/corianderpier/corianderpier/internal/fake"
 	"github.com/corianderpier/corianderpier/internal/roster"
 	"github.com/corianderpier/corianderpier/internal/store"
 	"github.com/corianderpier/corianderpier/pkg/pier"
@@ -64,46 +60,6 @@
 	buildErr  error
 )
 
-// Build compiles the commands, once per test binary, and returns the directory that
-// holds them.
-func Build(t testing.TB) string {
-	t.Helper()
-	buildOnce.Do(func() {
-		buildDir, buildErr = os.MkdirTemp("", "pier-bin-")
-		if buildErr != nil {
-			return
-		}
-		cmd := exec.Command("go", "build", "-o", buildDir+"/", "./cmd/...")
-		cmd.Dir = moduleRoot()
-		if out, err := cmd.CombinedOutput(); err != nil {
-			buildErr = fmt.Errorf("build: %w: %s", err, out)
-		}
-	})
-	if buildErr != nil {
-		t.Fatal(buildErr)
-	}
-	return buildDir
-}
-
-// Cleanup removes what Build compiled. Test packages call it from TestMain.
-func Cleanup() {
-	if buildDir != "" {
-		_ = os.RemoveAll(buildDir)
-	}
-}
-
-// moduleRoot returns the nearest parent directory that has a go.mod.
-func moduleRoot() string {
-	dir, err := os.Getwd()
-	for err == nil && dir != "/" {
-		if _, statErr := os.Stat(filepath.Join(dir, "go.mod")); statErr == nil {
-			return dir
-		}
-		dir = filepath.Dir(dir)
-	}
-	return "."
-}
-
 // Start starts a site and waits until every entry instance is ready. The processes
 // are killed at the end of the test.
 func Start(t testing.TB, spec Spec) *Site {
@@ -252,53 +208,6 @@
 	return n
 }
 
-// Runs returns the executions of all plain services.
-func (s *Site) Runs() []fake.Run {
-	s.t.Helper()
-	var all []fake.Run
-	for _, t := range s.Targets {
-		if !strings.HasPrefix(t.ID, "plain") {
-			continue
-		}
-		var runs []fake.Run
-		s.get("http://"+s.DirectAddr(t)+"/admin/runs", &runs)
-		all = append(all, runs...)
-	}
-	return all
-}
-
-// Holdings returns the memory that all engines have allocated to owners.
-func (s *Site) Holdings() []engine.Holding {
-	s.t.Helper()
-	var all []engine.Holding
-	for _, t := range s.Targets {
-		if !strings.HasPrefix(t.ID, "engine") {
-			continue
-		}
-		var held []engine.Holding
-		s.get("http://"+s.DirectAddr(t)+engine.PathHoldings, &held)
-		all = append(all, held...)
-	}
-	return all
-}
-
-// SetFault replaces the faults that the fake at the address injects.
-func (s *Site) SetFault(addr string, fault any) {
-	s.t.Helper()
-	data, err := json.Marshal(fault)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	resp, err := http.Post("http://"+addr+"/admin/fault", "application/json", bytes.NewReader(data))
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	_ = resp.Body.Close()
-}
-
-// DirectAddr returns the address on which a target listens, without any proxy.
-func (s *Site) DirectAddr(t roster.Target) string { return s.targetAddrs[t.ID] }
-
 func (s *Site) get(url string, into any) {
 	s.t.Helper()
 	resp, err := http.Get(url)
@@ -311,51 +220,6 @@
 	}
 }
 
-// addTargets starts n targets of a kind and adds them to Targets.
-func (s *Site) addTargets(n int, service, kind string, args []string) {
-	s.t.Helper()
-	if n == 0 {
-		return
-	}
-	addrs := s.startTargets(n, kind, args)
-	for i, addr := range addrs {
-		id := fmt.Sprintf("%s-%d", kind, i)
-		listed := addr
-		if s.Spec.TargetAddrFor != nil {
-			listed = s.Spec.TargetAddrFor(id, addr)
-		}
-		zone := "zone-a"
-		if len(s.Spec.Zones) > 0 {
-			zone = s.Spec.Zones[i%len(s.Spec.Zones)]
-		}
-		s.targetAddrs[id] = addr
-		models := modelsOf(s.Spec.Config, service)
-		s.Targets = append(s.Targets, roster.Target{ID: id, Service: service, Addr: listed, Zone: zone, State: roster.Live, Models: models})
-	}
-}
-
-// startTargets starts the targets of one kind, in one process or in one each, and
-// returns their addresses.
-func (s *Site) startTargets(n int, kind string, args []string) []string {
-	s.t.Helper()
-	if !s.Spec.ProcessPerTarget {
-		listenAddrs := strings.TrimSuffix(strings.Repeat("127.0.0.1:0,", n), ",")
-		return strings.Split(s.startProcess(kind, "pierfake", append([]string{kind, "-listen", listenAddrs}, args...)...).firstLine(s.t), ",")
-	}
-	var addrs []string
-	for i := range n {
-		name := fmt.Sprintf("%s-%d", kind, i)
-		s.targetProcesses[name] = s.startProcess(name, "pierfake", append([]string{kind, "-listen", "127.0.0.1:0"}, args...)...)
-	}
-	for i := range n {
-		addrs = append(addrs, s.targetProcesses[fmt.Sprintf("%s-%d", kind, i)].firstLine(s.t))
-	}
-	return addrs
-}
-
-// KillTarget kills the process of a target. It needs Spec.ProcessPerTarget.
-func (s *Site) KillTarget(id string) { s.targetProcesses[id].Kill() }
-
 // Close kills all processes before the end of the test.
 func (s *Site) Close() {
 	for _, p := range s.processes {
