--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -218,7 +218,7 @@
 	}
 	waitDelivered(boards)
 	for _, b := range boards {
-		b.Broadcast = func([]byte) {}
+		b.Loop.Call(func() { b.Broadcast = func([]byte) {} })
 	}
 	count := make(map[string]int)
 	for _, b := range boards {
