--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +28,9 @@
 	long   = Requirements{Service: "models", PromptTokens: 182_000, MaxOutputTokens: 650, FirstEventSLO: 3000, EventGapSLO: 1000}
 )
 
+// inFlight counts datagrams that are sent and not yet with the loop of their receiver.
+var inFlight atomic.Int64
+
 // newBoards returns the boards of several instances that share targets; each broadcast reaches all others.
 func newBoards(t testing.TB, instances, engines int) []*Board {
 	t.Helper()
@@ -41,7 +45,11 @@
 		boards[i].Broadcast = func(data []byte) {
 			for j, other := range boards {
 				if j != i {
-					go other.Receive(data)
+					inFlight.Add(1)
+					go func() {
+						defer inFlight.Add(-1)
+						other.Receive(data)
+					}()
 				}
 			}
 		}
@@ -88,9 +96,12 @@
 	return p
 }
 
-// waitDelivered allows 20 ms for datagrams to arrive, and waits until the boards have applied those.
+// waitDelivered waits until the datagrams that were sent have arrived and the boards have applied them.
 func waitDelivered(boards []*Board) {
 	time.Sleep(20 * time.Millisecond)
+	for inFlight.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
 	for _, b := range boards {
 		b.Loop.Call(func() {})
 	}
