platform, feed: Serve callers at once after a restart

Ruled out: the store (it answered in 12 ms). Change: the member list, which a restarted instance reads first, tells whether it is active; if so it reads first versions at once.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -16,6 +16,7 @@
 const (
 	defaultWatchDuration = 10 * clock.Second     // how long the source holds a watch call open
 	firstReadInterval    = 200 * clock.Millis(1) // between attempts to read a first version while the source does not answer
+	noSourceInterval     = 20 * clock.Millis(1)  // between attempts while neither the source nor a peer may be asked yet
 	emptySourceInterval  = clock.Second          // between attempts while the source answers that there is no version yet
 	emptyPeersInterval   = 300 * clock.Millis(1) // between attempts while only peers answer that they have none
 	retryDelay           = 500 * clock.Millis(1) // after a failed watch; doubled for each consecutive one
@@ -116,6 +117,8 @@
 		if first {
 			wait = firstReadInterval
 			switch {
+			case f.ReadsFirst != nil && !f.ReadsFirst() && len(f.Peers()) == 0:
+				wait = noSourceInterval
 			case f.LastSuccess() > 0:
 				wait = emptySourceInterval
 			case f.peerAnswered.Load():
