--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -40,7 +40,7 @@
 	PollInterval  func() clock.Millis                                          // between polls of the source, watching or not
 	Apply         func(o store.Object) error                                   // validates and activates a newer version
 	OnUpdate      func()                                                       // called after a newer version became active; may be nil
-	WatchDuration clock.Millis                                                 // of one watch call at the source; zero for the default
+	WatchDuration func() clock.Millis                                          // of one watch call at the source; nil for the default
 	HintInterval  func() clock.Millis                                          // shortest time between reads from peers; nil for none
 
 	mu           sync.Mutex
@@ -183,9 +183,9 @@
 			_ = clock.Sleep(ctx, retryDelay)
 			continue
 		}
-		wait := f.WatchDuration
-		if wait == 0 {
-			wait = defaultWatchDuration
+		wait := defaultWatchDuration
+		if f.WatchDuration != nil {
+			wait = f.WatchDuration()
 		}
 		watchCtx, cancel := context.WithTimeout(ctx, 2*wait.Duration())
 		o, err := f.Watch(watchCtx, f.Current().Version, wait)
