--- a/internal/member/doc.go
+++ b/internal/member/doc.go
@@ -5,4 +5,7 @@
 // that does not answer, and spreads rumors with its probes. The cost for an
 // instance does not depend on the number of instances. Incarnation numbers
 // decide between contradicting rumors: only an instance itself raises its own.
+//
+// View.Active chooses, by the view alone, the few instances that serve callers;
+// the others stand by.
 package member
