active: Move the choice of active instances out of the adapter

Cause: platform/ decided on cells, shares of retries and subscriptions, which have nothing of the platform's. Change: package active has them, with their tests; platform/ connects it. No behaviour changes. Left there: joining and the member list (join.go, register.go), which use the platform's store objects; entry has its own copy of that duty.

--- /dev/null
+++ b/internal/active/active_test.go
@@ -0,0 +1,92 @@
+package active
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/member"
+)
+
+// Pattern: hundreds of instances, of which a few serve the callers. A placement is told to the active instances and to
+// those that are active in their own view, until they have not said so for subscriptionTime.
+func TestSubscriptions(t *testing.T) {
+	is := is.New(t)
+	s := &Subscriptions{Always: func() []string { return []string{"active"} }}
+	is.Equal(s.Addrs(), []string{"active"})
+	s.Renew("active")
+	s.Renew("other")
+	is.Equal(s.Addrs(), []string{"active", "other"})
+	s.heard["other"] -= subscriptionTime + clock.Second
+	is.Equal(s.Addrs(), []string{"active"})
+	is.Equal(len(s.heard), 1)
+}
+
+// The shares of the retry budget of all instances stay within the part that they may use, whatever their number.
+func TestRetryShares(t *testing.T) {
+	is := is.New(t)
+	for _, instances := range []int{1, 9, 67, 295} {
+		var members []member.Member
+		for n := range instances {
+			members = append(members, member.Member{Name: fmt.Sprintf("entry-%d", n), Zone: fmt.Sprint(n % 3), Capacity: 0.4})
+		}
+		total := 0.0
+		for _, m := range members {
+			total += Choose(member.View{Members: members}, m.Name, 274).RetryShare(m.Name)
+		}
+		is.True(total > 0.59 && total < 0.71)
+	}
+}
+
+// Pattern: the size to design for, with many more active instances than may all tell each other of placements. They form
+// cells, each with instances of several availability zones and a part of the targets, and each target has one cell.
+func TestCells(t *testing.T) {
+	is := is.New(t)
+	var members []member.Member
+	for n := range 390 {
+		members = append(members, member.Member{Name: fmt.Sprintf("entry-%d", n), Zone: fmt.Sprint(n % 6), Capacity: 1})
+	}
+	const slots = 20_000 // of 600 targets
+	view := member.View{Members: members}
+	cells := make(map[int]*Set)
+	for _, m := range view.Active("entry-0", coresPerSlot*slots) {
+		set := Choose(view, m.Name, slots)
+		is.True(len(set.CellMembers) <= maxCellInstances)
+		zones := make(map[string]bool)
+		for _, other := range set.CellMembers {
+			zones[other.Zone] = true
+		}
+		is.True(len(zones) >= 2)
+		cells[set.cell] = set
+	}
+	is.True(len(cells) > 1)
+	count := make(map[int]int)
+	for n := range 600 {
+		owners := 0
+		for cell, set := range cells {
+			if set.Places(fmt.Sprint("engine-", n)) {
+				owners++
+				count[cell]++
+			}
+		}
+		is.Equal(owners, 1)
+	}
+	for _, n := range count {
+		is.True(n >= 600/len(cells)/2) // engines of a cell
+	}
+}
+
+// A group of today's sizes is one cell.
+func TestOneCell(t *testing.T) {
+	is := is.New(t)
+	var members []member.Member
+	for n := range 24 {
+		members = append(members, member.Member{Name: fmt.Sprintf("entry-%d", n), Zone: fmt.Sprint(n % 3), Capacity: 0.4})
+	}
+	set := Choose(member.View{Members: members}, "entry-3", 1000)
+	is.Equal(set.CellCount, 1)
+	is.Equal(len(set.CellMembers), len(set.Members))
+	is.True(set.Places("any"))
+}
