--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -84,13 +84,11 @@
 	if len(targets) <= maxShortlist {
 		return targets
 	}
-	candidates := make([]candidate, 0, len(targets))
-	for _, s := range targets {
-		if !split || s.hasMemory(req.PromptTokens/maxParts) {
-			candidates = append(candidates, s.evaluate(now, req, shortlistParts, true))
-		}
+	memory := 0
+	if split {
+		memory = req.PromptTokens / maxParts
 	}
-	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+	candidates := rankHelpers(now, req, targets, shortlistParts, memory, nil)
 	cheapest := make([]*targetState, 0, maxShortlist)
 	for _, c := range candidates[:min(maxShortlist, len(candidates))] {
 		cheapest = append(cheapest, c.targetState)
@@ -162,6 +160,12 @@
 // chooseHelpers returns the cheapest engines with enough free memory for all parts but the first, or fewer if there are not
 // as many.
 func chooseHelpers(now clock.Millis, req Requirements, targets []*targetState, parts, memory int, first *targetState) []candidate {
+	candidates := rankHelpers(now, req, targets, parts, memory, first)
+	return candidates[:min(len(candidates), parts-1)]
+}
+
+// rankHelpers returns the engines other than first with enough free memory for a part, the cheapest ones first.
+func rankHelpers(now clock.Millis, req Requirements, targets []*targetState, parts, memory int, first *targetState) []candidate {
 	candidates := make([]candidate, 0, len(targets))
 	for _, s := range targets {
 		if s != first && s.hasMemory(memory) {
@@ -169,7 +173,7 @@
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
-	return candidates[:min(len(candidates), parts-1)]
+	return candidates
 }
 
 // evaluate predicts the cost of having the engine prefill one of several equal parts: the value that the request and others
