feed: Ask in one place whether the source is read first

Cause: the test for a nil ReadsFirst stood twice, once inverted, and the pause after failed watches was shifted by a count with a limit of its own. Change: readsFirst; the pause itself doubles up to its limit, as in joinGroup. The pauses are as before: 0.5, 1, 2, 2 s.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -21,7 +21,6 @@
 	emptyPeersInterval   = 300 * clock.Millis(1) // between attempts while only peers answer that they have none
 	retryDelay           = 500 * clock.Millis(1) // after a failed watch; doubled for each consecutive one
 	maxRetryDelay        = 2 * clock.Second      // after several failures of the source
-	maxBackoffSteps      = 4                     // doublings of retryDelay; enough for maxRetryDelay
 	maxFirstFetches      = 3                     // peers asked at once for a first version
 	maxFirstReads        = 4                     // concurrent attempts to read a first version
 	fetchTimeout         = 600 * clock.Millis(1) // of a fetch from a peer, after which the source is polled instead
@@ -117,7 +116,7 @@
 		if first {
 			wait = firstReadInterval
 			switch {
-			case f.ReadsFirst != nil && !f.ReadsFirst() && len(f.Peers()) == 0:
+			case !f.readsFirst() && len(f.Peers()) == 0:
 				wait = noSourceInterval
 			case f.LastSuccess() > 0:
 				wait = emptySourceInterval
@@ -161,12 +160,15 @@
 	for _, peer := range peers[:min(len(peers), f.firstFetches())] {
 		group.Go(func() { f.fetchFromPeer(ctx, peer) })
 	}
-	if f.ReadsFirst == nil || f.ReadsFirst() {
+	if f.readsFirst() {
 		group.Go(func() { f.poll(ctx) })
 	}
 	group.Wait()
 }
 
+// readsFirst reports whether a first version is read from the source too.
+func (f *Feed) readsFirst() bool { return f.ReadsFirst == nil || f.ReadsFirst() }
+
 // firstFetches returns how many peers are asked for a first version at once: fewer when they have answered that they have
 // none either.
 func (f *Feed) firstFetches() int {
@@ -177,7 +179,7 @@
 }
 
 func (f *Feed) watch(ctx context.Context) {
-	failures := 0
+	delay := retryDelay
 	for ctx.Err() == nil {
 		if !f.ShouldWatch() || f.Current().Version == 0 {
 			_ = clock.Sleep(ctx, retryDelay)
@@ -192,11 +194,11 @@
 		cancel()
 		if err != nil {
 			f.recordFailure("watch", err)
-			_ = clock.Sleep(ctx, min(retryDelay<<failures, maxRetryDelay))
-			failures = min(failures+1, maxBackoffSteps)
+			_ = clock.Sleep(ctx, delay)
+			delay = min(2*delay, maxRetryDelay)
 			continue
 		}
-		failures = 0
+		delay = retryDelay
 		f.lastSuccess.Store(int64(clock.Now()))
 		if f.applyIfNewer(o) {
 			_ = clock.Sleep(ctx, coalesceDelay)
