stage: Select targets of a kind once, and keep build state with Build

Cause: Runs and Holdings had the same loop over targets (named by the duplicate search); the variables of Build stayed in stage.go when it moved. Change: directAddrs; the variables are in build.go.

--- a/internal/stage/build.go
+++ b/internal/stage/build.go
@@ -5,9 +5,16 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"testing"
 )
 
+var (
+	buildOnce sync.Once
+	buildDir  string
+	buildErr  error
+)
+
 // Build compiles the commands, once per test binary, and returns the directory that
 // holds them.
 func Build(t testing.TB) string {
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -54,12 +54,6 @@
 	processes       []*Process
 }
 
-var (
-	buildOnce sync.Once
-	buildDir  string
-	buildErr  error
-)
-
 // Start starts a site and waits until every entry instance is ready. The processes
 // are killed at the end of the test.
 func Start(t testing.TB, spec Spec) *Site {
--- a/internal/stage/targets.go
+++ b/internal/stage/targets.go
@@ -78,12 +78,9 @@
 func (s *Site) Runs() []fake.Run {
 	s.t.Helper()
 	var all []fake.Run
-	for _, t := range s.Targets {
-		if !strings.HasPrefix(t.ID, "plain") {
-			continue
-		}
+	for _, addr := range s.directAddrs("plain") {
 		var runs []fake.Run
-		s.get("http://"+s.DirectAddr(t)+"/admin/runs", &runs)
+		s.get("http://"+addr+"/admin/runs", &runs)
 		all = append(all, runs...)
 	}
 	return all
@@ -93,13 +90,21 @@
 func (s *Site) Holdings() []engine.Holding {
 	s.t.Helper()
 	var all []engine.Holding
-	for _, t := range s.Targets {
-		if !strings.HasPrefix(t.ID, "engine") {
-			continue
-		}
+	for _, addr := range s.directAddrs("engine") {
 		var held []engine.Holding
-		s.get("http://"+s.DirectAddr(t)+engine.PathHoldings, &held)
+		s.get("http://"+addr+engine.PathHoldings, &held)
 		all = append(all, held...)
 	}
 	return all
 }
+
+// directAddrs returns the addresses on which the targets of a kind listen, without any proxy.
+func (s *Site) directAddrs(kind string) []string {
+	var addrs []string
+	for _, t := range s.Targets {
+		if strings.HasPrefix(t.ID, kind) {
+			addrs = append(addrs, s.DirectAddr(t))
+		}
+	}
+	return addrs
+}
