--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -83,6 +83,7 @@
 	TimedOut     Reason = "timed_out"     // the deadline passed, or was too near for a retry, after a target may have run the request
 	TargetFailed Reason = "target_failed" // a target may have run the request, but gave no complete answer
 	Malformed    Reason = "malformed"     // the request is invalid
+	Draining     Reason = "draining"      // the instance shuts down, and might not finish the request
 )
 
 // Refusal is the answer to a caller that gets none from a target.
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -102,6 +102,7 @@
 	"too_large":     "refused: all engines together have too little memory; it has not run",
 	"no_target":     "refused: no target of the service was listed; look for log lines of the feed servers",
 	"not_ready":     "refused: the instance had no configuration yet",
+	"draining":      "refused: the instance was shutting down and was no longer named to callers; it has not run",
 	"no_route":      "the active configuration had no such route",
 	"no_key":        "the active configuration had no such key",
 	"refused":       "each target that was tried reported that it had not run the request",
