relay, platform: Log the shared parts of prompts

The log had the target of a failed attempt, but nothing of its prompt, so that it could not tell requests that end engines from engines that end under load or by themselves.

No logic changes.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -31,6 +31,7 @@
 	ended := make(chan struct{})
 	defer close(ended)
 	s.lastProgress.Store(int64(clock.Now()))
+	s.eventsBefore = s.eventsForwarded
 	mayRetry := s.retryable() && s.attemptsSent+1 < max(s.MaxAttempts, 1)
 	if mayRetry || placement.HelperMemory > 0 {
 		go s.cancelIfTargetDown(watchedAttempt{placement.TargetDown(), ended, mayRetry, placement.HelperMemory > 0}, cancel)
@@ -136,7 +137,8 @@
 	if s.targetDown.Swap(false) {
 		kind, ctx = Stalled, s.ctx
 	}
-	slog.Info("attempt failed", "request", s.ID, "target", p.Target.ID, "error", err.Error(), "ended", ctx.Err() != nil)
+	slog.Info("attempt failed", "request", s.ID, "target", p.Target.ID, "error", err.Error(), "ended", ctx.Err() != nil,
+		"events", s.eventsForwarded-s.eventsBefore, "parts", s.SharedParts)
 	if kind == NotSent {
 		s.unreachableTargets++
 		if ctx.Err() != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -59,6 +59,7 @@
 	retryReserved       atomic.Bool     // the next attempt is already deducted from the retry budget
 	lastEventID         int             // of the last event forwarded to the caller
 	eventsForwarded     int             // number of events forwarded to the caller
+	eventsBefore        int             // number of events forwarded by earlier attempts
 	target              string          // id of the target of the current attempt
 	predictedFirstEvent clock.Millis
 	timeToFirstEvent    clock.Millis // since the request arrived
@@ -93,7 +94,7 @@
 	metrics.GetOrCreateHistogram(`pier_relay_seconds{service="` + s.Service + `"}`).Update(float64(took) / 1000)
 	slog.Info("request", "request", s.ID, "service", s.Service, "customer", s.Customer, "config", s.ConfigVersion,
 		"outcome", outcome, "target", s.target, "helpers", s.helpers, "sent", s.attemptsSent, "unreachable", s.unreachableTargets,
-		"prompt", s.PromptTokens, "predicted_ms", int64(s.predictedFirstEvent), "first_ms", int64(s.timeToFirstEvent), "aim_ms", int64(s.FirstEventSLO),
+		"prompt", s.PromptTokens, "parts", s.SharedParts, "predicted_ms", int64(s.predictedFirstEvent), "first_ms", int64(s.timeToFirstEvent), "aim_ms", int64(s.FirstEventSLO),
 		"events", s.eventsForwarded, "pause_ms", int64(s.longestGap), "pause_aim_ms", int64(s.EventGapSLO),
 		"left_ms", int64(s.Deadline-clock.Now()), "took_ms", int64(took))
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -34,6 +34,7 @@
 	Body             []byte
 	PromptTokens     int          // zero for a plain service
 	MaxOutputTokens  int          // limit of generated tokens
+	SharedParts      []string     // ids of the parts of the prompt, without the last one, which no other request shares
 	FirstEventSLO    clock.Millis // objective for the time to the first event
 	EventGapSLO      clock.Millis // objective for the longest gap between events
 	Arrived          clock.Millis // time at which it arrived
