blame, relay, platform: Quarantine parts of prompts that crash engines

Cause: a broken attempt counted against its target only; nothing related broken requests to what their prompts share, so that retries and new requests took the fatal part to all engines (poison message).

Change: package blame. Instances count crashes against the parts of the broken prompts, tell each other, and refuse a part after three crashes at different times with no answer in between. Simultaneous crashes count once, as a host takes all its engines with it; an answer on any instance clears a part.

Why this works: of 70 requests with the fatal part none was answered, while every other part that was in several crashes was answered in between.

Ruled out: engines that end under load (3 to 16 requests were on them).

--- /dev/null
+++ b/internal/blame/blame.go
@@ -0,0 +1,225 @@
+package blame
+
+import (
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+)
+
+const (
+	crashesToQuarantine = 3                     // crashes without an answer in between, after which a part is quarantined
+	minCrashGap         = 100 * clock.Millis(1) // crashes closer together count as one, as a host or a rack fails with all its targets
+	sameCrashWindow     = clock.Second          // within which reports about one target are about the same crash
+	soundTime           = clock.Minute          // after an answer, for which a part is not suspected
+	trialInterval       = 10 * clock.Minute     // after which one request with a quarantined part is let through again
+	forgetAfter         = clock.Hour            // after its last crash, when a part that nobody asks for is forgotten
+	maxSuspects         = 1024                  // suspected parts that are kept; those with the oldest crashes go first
+	maxCrashesPerPart   = 16                    // of a part that are kept
+	flushDelay          = 20 * clock.Millis(1)  // for which changes are collected for a datagram
+	repeatInterval      = 500 * clock.Millis(1) // between repetitions of what is quarantined, for instances that do not know it
+)
+
+// crash is the end of a target while it ran a request.
+type crash struct {
+	target string
+	at     clock.Millis
+}
+
+// same reports whether two reports are about the same crash.
+func (c crash) same(other crash) bool {
+	return c.target == other.target && max(c.at-other.at, other.at-c.at) < sameCrashWindow
+}
+
+// suspect is a part of prompts that targets crashed under.
+type suspect struct {
+	crashes     []crash      // by time
+	trialAt     clock.Millis // when a request with a quarantined part is let through
+	quarantined bool         // enough crashes speak against the part
+}
+
+// separateCrashes returns the number of crashes, of which those within minCrashGap count as one.
+func (s *suspect) separateCrashes() int {
+	count := 0
+	last := clock.Millis(0)
+	for _, c := range s.crashes {
+		if count == 0 || c.at-last >= minCrashGap {
+			count++
+			last = c.at
+		}
+	}
+	return count
+}
+
+// lastCrash returns the time of the latest crash.
+func (s *suspect) lastCrash() clock.Millis { return s.crashes[len(s.crashes)-1].at }
+
+// has reports whether a crash is known for the part.
+func (s *suspect) has(c crash) bool { return slices.ContainsFunc(s.crashes, c.same) }
+
+// add adds a crash, and drops the oldest one if there are too many.
+func (s *suspect) add(c crash) {
+	s.crashes = append(s.crashes, c)
+	slices.SortFunc(s.crashes, func(a, b crash) int { return int(a.at - b.at) })
+	if len(s.crashes) > maxCrashesPerPart {
+		s.crashes = slices.Delete(s.crashes, 0, 1)
+	}
+}
+
+// Tracker keeps what one instance knows of fatal parts. Its methods may be called from any goroutine.
+type Tracker struct {
+	Now       func() clock.Millis
+	After     func(d time.Duration, f func()) // calls f after a time; nil for time.AfterFunc
+	Broadcast func(r Report)                  // sends a report to all other instances
+	Repeat    func(r Report)                  // sends a report to some other instances, each time to others
+
+	mu        sync.Mutex
+	suspects  map[string]*suspect
+	sound     recentParts
+	pending   Report
+	scheduled bool // a flush of the pending report is due
+}
+
+// Quarantined reports whether the prompt has a part that is quarantined, and the time until one is let through again.
+func (t *Tracker) Quarantined(parts []string) (wait clock.Millis, quarantined bool) {
+	if len(parts) == 0 {
+		return 0, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Now()
+	for _, part := range parts {
+		s := t.suspects[part]
+		if s == nil || !s.quarantined {
+			continue
+		}
+		if now >= s.trialAt {
+			s.trialAt = now + trialInterval
+			slog.Info("quarantined part let through on trial", "part", part)
+			continue
+		}
+		return s.trialAt - now, true
+	}
+	return 0, false
+}
+
+// RecordAnswer records that a target has answered a prompt with these parts, so that none of them is fatal.
+func (t *Tracker) RecordAnswer(parts []string) {
+	if len(parts) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, part := range parts {
+		if t.clear(part) {
+			t.pending.Sound = append(t.pending.Sound, part)
+			t.schedule()
+		}
+	}
+}
+
+// RecordCrash records that a target ended the connection of a prompt with these parts before it had answered.
+func (t *Tracker) RecordCrash(parts []string, target string) {
+	if len(parts) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, part := range parts {
+		now := t.Now()
+		if t.accuse(part, crash{target, now}) {
+			t.pending.Crashes = append(t.pending.Crashes, Crash{Part: part, Target: target, Age: now}) // flush replaces the time by the age
+			t.schedule()
+		}
+	}
+}
+
+// clear records that a part is sound. It reports whether the part was suspected.
+func (t *Tracker) clear(part string) bool {
+	t.sound.add(part, t.Now())
+	s := t.suspects[part]
+	if s == nil {
+		return false
+	}
+	delete(t.suspects, part)
+	if s.quarantined {
+		slog.Info("part no longer quarantined, as it was answered", "part", part)
+	}
+	return true
+}
+
+// accuse adds a crash to a part, unless the part is known to be sound. It reports whether that is news.
+func (t *Tracker) accuse(part string, c crash) bool {
+	if at, ok := t.sound.get(part); ok && t.Now()-at < soundTime {
+		return false
+	}
+	s := t.suspects[part]
+	if s != nil && s.has(c) {
+		return false
+	}
+	if s == nil {
+		s = &suspect{}
+		if t.suspects == nil {
+			t.suspects = make(map[string]*suspect)
+		}
+		t.makeRoom()
+		t.suspects[part] = s
+	}
+	s.add(c)
+	if s.separateCrashes() >= crashesToQuarantine {
+		t.quarantine(part, s)
+	}
+	return true
+}
+
+// quarantine quarantines a part, or renews its quarantine.
+func (t *Tracker) quarantine(part string, s *suspect) {
+	s.trialAt = s.lastCrash() + trialInterval
+	if s.quarantined {
+		return
+	}
+	s.quarantined = true
+	metrics.GetOrCreateCounter(`pier_blame_quarantined_total`).Inc()
+	slog.Info("part quarantined", "part", part, "crashes", len(s.crashes), "target", s.crashes[len(s.crashes)-1].target)
+}
+
+// makeRoom drops the suspect with the oldest crash if there are too many.
+func (t *Tracker) makeRoom() {
+	if len(t.suspects) < maxSuspects {
+		return
+	}
+	oldest := ""
+	for part, s := range t.suspects {
+		if oldest == "" || s.lastCrash() < t.suspects[oldest].lastCrash() {
+			oldest = part
+		}
+	}
+	delete(t.suspects, oldest)
+}
+
+// expire forgets the parts whose last crash is long ago.
+func (t *Tracker) expire() {
+	now := t.Now()
+	for part, s := range t.suspects {
+		if now-s.lastCrash() >= forgetAfter {
+			delete(t.suspects, part)
+		}
+	}
+}
+
+// schedule makes the pending report go out soon.
+func (t *Tracker) schedule() {
+	if t.scheduled {
+		return
+	}
+	t.scheduled = true
+	if t.After != nil {
+		t.After(flushDelay.Duration(), t.flush)
+		return
+	}
+	time.AfterFunc(flushDelay.Duration(), t.flush)
+}
--- /dev/null
+++ b/internal/blame/report.go
@@ -0,0 +1,103 @@
+package blame
+
+import (
+	"context"
+	"time"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+)
+
+const maxReportEntries = 12 // of each kind in one report, so that it fits into a datagram
+
+// Crash is a crash that speaks against a part, as instances tell each other.
+type Crash struct {
+	Part   string       `cbor:"1,keyasint"`
+	Target string       `cbor:"2,keyasint"`
+	Age    clock.Millis `cbor:"3,keyasint,omitempty"` // since the crash
+}
+
+// Report is what an instance tells the others about parts of prompts.
+type Report struct {
+	Crashes []Crash  `cbor:"1,keyasint,omitempty"`
+	Sound   []string `cbor:"2,keyasint,omitempty"` // suspected parts that were answered
+}
+
+// split returns reports of at most maxReportEntries entries of each kind.
+func (r Report) split() []Report {
+	var reports []Report
+	for len(r.Crashes)+len(r.Sound) > 0 {
+		crashes, sound := min(len(r.Crashes), maxReportEntries), min(len(r.Sound), maxReportEntries)
+		reports = append(reports, Report{Crashes: r.Crashes[:crashes], Sound: r.Sound[:sound]})
+		r.Crashes, r.Sound = r.Crashes[crashes:], r.Sound[sound:]
+	}
+	return reports
+}
+
+// Run repeats what is quarantined until the context ends, so that it reaches instances that have started since, or to which
+// a datagram was lost.
+func (t *Tracker) Run(ctx context.Context) error {
+	ticker := time.NewTicker(repeatInterval.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			for _, r := range t.quarantineReport().split() {
+				t.Repeat(r)
+			}
+		}
+	}
+}
+
+// quarantineReport returns the crashes of all quarantined parts.
+func (t *Tracker) quarantineReport() Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire()
+	var r Report
+	now := t.Now()
+	for part, s := range t.suspects {
+		if !s.quarantined {
+			continue
+		}
+		for _, c := range s.crashes {
+			r.Crashes = append(r.Crashes, Crash{Part: part, Target: c.target, Age: now - c.at})
+		}
+	}
+	return r
+}
+
+// Receive applies the report of another instance. If it suspects a part that was answered here, the others are told.
+func (t *Tracker) Receive(r Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Now()
+	for _, part := range r.Sound {
+		t.clear(part)
+	}
+	for _, c := range r.Crashes {
+		at := now - c.Age
+		if answered, ok := t.sound.get(c.Part); ok && now-answered < soundTime {
+			t.pending.Sound = append(t.pending.Sound, c.Part)
+			t.schedule()
+			continue
+		}
+		t.accuse(c.Part, crash{c.Target, at})
+	}
+}
+
+// flush broadcasts the pending report.
+func (t *Tracker) flush() {
+	t.mu.Lock()
+	pending := t.pending
+	t.pending, t.scheduled = Report{}, false
+	t.mu.Unlock()
+	now := t.Now()
+	for n := range pending.Crashes {
+		pending.Crashes[n].Age = now - pending.Crashes[n].Age
+	}
+	for _, r := range pending.split() {
+		t.Broadcast(r)
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -31,7 +31,7 @@
 	ended := make(chan struct{})
 	defer close(ended)
 	s.lastProgress.Store(int64(clock.Now()))
-	s.eventsBefore = s.eventsForwarded
+	s.eventsBefore, s.answering = s.eventsForwarded, false
 	mayRetry := s.retryable() && s.attemptsSent+1 < max(s.MaxAttempts, 1)
 	if mayRetry || placement.HelperMemory > 0 {
 		go s.cancelIfTargetDown(watchedAttempt{placement.TargetDown(), ended, mayRetry, placement.HelperMemory > 0}, cancel)
@@ -154,6 +154,9 @@
 		p.End(board.Inconclusive)
 		return "", false
 	}
+	if !s.answering && (kind == Broken || kind == Stalled) {
+		s.relay.Blame.RecordCrash(s.SharedParts, p.Target.ID)
+	}
 	p.End(board.Failed)
 	countFailedAttempt(string(kind))
 	return "", s.retryable() && s.takeRetry()
@@ -190,6 +193,14 @@
 	return "error", false
 }
 
+// recordAnswering records that the engine of the current attempt answers the prompt, so that no part of it is fatal.
+func (s *requestState) recordAnswering() {
+	if !s.answering {
+		s.answering = true
+		s.relay.Blame.RecordAnswer(s.SharedParts)
+	}
+}
+
 // readBuffered reads the first maxBufferedBytes of a body, and reports whether that is the whole body.
 func readBuffered(body io.Reader) (data []byte, whole bool, err error) {
 	data, err = io.ReadAll(io.LimitReader(body, maxBufferedBytes+1))
@@ -210,6 +221,7 @@
 	if !whole {
 		return s.forwardLarge(p, answer, body)
 	}
+	s.recordAnswering()
 	p.End(board.Succeeded)
 	s.writeAnswer(answer, body)
 	return "answered", false
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
+	"github.com/corianderpier/corianderpier/internal/blame"
 	"github.com/corianderpier/corianderpier/internal/board"
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/retry"
@@ -21,8 +22,9 @@
 	maxUnreachableTargets  = 3                      // targets of a request that may prove unreachable without counting as attempts
 	stallTimeout           = 1200 * clock.Millis(1) // without an event, after which an attempt at a target that is reported down is cancelled
 	stallCheckInterval     = 200 * clock.Millis(1)
-	maxReservationFailures = 3                    // failures to reserve memory on helpers after which a request is refused
-	minTimeLeft            = 20 * clock.Millis(1) // before the deadline; a request with less time left is refused
+	maxReservationFailures = 3                     // failures to reserve memory on helpers after which a request is refused
+	answeringAfter         = 500 * clock.Millis(1) // after the first event of an attempt, when its engine has not crashed under the prompt
+	minTimeLeft            = 20 * clock.Millis(1)  // before the deadline; a request with less time left is refused
 )
 
 // Relay forwards requests to targets and their answers to the callers.
@@ -34,6 +36,8 @@
 	Send func(ctx context.Context, r Request, p *board.Placement, lastEventID int) (*Answer, error)
 	// Tickets reserves memory on helpers for prompts that are too large for one engine.
 	Tickets *ticket.Manager
+	// Blame learns which parts of prompts crash engines.
+	Blame *blame.Tracker
 	// Refuse writes the answer to a caller that gets no answer from a target.
 	Refuse func(w http.ResponseWriter, r Request, refusal Refusal)
 	// Budget returns the retry budget of a service.
@@ -60,6 +64,7 @@
 	lastEventID         int             // of the last event forwarded to the caller
 	eventsForwarded     int             // number of events forwarded to the caller
 	eventsBefore        int             // number of events forwarded by earlier attempts
+	answering           bool            // the current attempt has got further than an engine that crashes under the prompt would
 	target              string          // id of the target of the current attempt
 	predictedFirstEvent clock.Millis
 	timeToFirstEvent    clock.Millis // since the request arrived
@@ -105,6 +110,9 @@
 		if s.deadline()-clock.Now() < minTimeLeft {
 			return s.refuseForDeadline()
 		}
+		if wait, quarantined := s.relay.Blame.Quarantined(s.SharedParts); quarantined {
+			return s.refuseFor(Quarantined, wait)
+		}
 		p, err := s.relay.Place(s.placementRequirements(s.exclude))
 		if err != nil {
 			return s.refuse(refusalReason(err))
@@ -149,15 +157,20 @@
 	return s.refuse(Expired)
 }
 
-// refuse tells the caller why there is no answer. If part of an answer has been sent already, the connection is closed
-// instead, so that the caller does not mistake it for a complete answer.
+// refuse tells the caller why there is no answer, and when to try again.
 func (s *requestState) refuse(reason Reason) string {
+	return s.refuseFor(reason, s.relay.RetryAfter(s.Request, reason))
+}
+
+// refuseFor is refuse with the time after which the caller may try again. If part of an answer has been sent already, the
+// connection is closed instead, so that the caller does not mistake it for a complete answer.
+func (s *requestState) refuseFor(reason Reason, retryAfter clock.Millis) string {
 	if s.responseStarted {
 		return s.abort(string(reason))
 	}
 	refusal := Refusal{Reason: reason, MayHaveRun: s.mayHaveRun}
 	if !s.mayHaveRun {
-		refusal.RetryAfter = s.relay.RetryAfter(s.Request, reason)
+		refusal.RetryAfter = retryAfter
 	}
 	s.relay.Refuse(s.w, s.Request, refusal)
 	return string(reason)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"github.com/rotisserie/eris"
 
+	"github.com/corianderpier/corianderpier/internal/blame"
 	"github.com/corianderpier/corianderpier/internal/board"
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/loop"
@@ -89,7 +90,7 @@
 	b.ReplaceTargets([]board.Target{{ID: "one", Service: "desk", Slots: 6}, {ID: "two", Service: "desk", Slots: 6}}, false)
 	budget := &retry.Budget{Limits: func() retry.Limits { return retry.Limits{Extra: 10, Window: clock.Second} }, Now: clock.Now}
 	return &Relay{
-		Place: b.Place, Send: send, Budget: func(string) *retry.Budget { return budget },
+		Place: b.Place, Send: send, Blame: &blame.Tracker{Now: clock.Now, Broadcast: func(blame.Report) {}}, Budget: func(string) *retry.Budget { return budget },
 		RetryAfter: func(Request, Reason) clock.Millis { return 100 },
 		Refuse: func(w http.ResponseWriter, _ Request, refusal Refusal) {
 			if refusal.MayHaveRun {
@@ -217,3 +218,58 @@
 		close(ended)
 	}
 }
+
+// A prompt whose part is quarantined reaches no target: a new one is refused as not run, one that has broken is not retried.
+func TestQuarantinedPromptNotSent(t *testing.T) {
+	is := is.New(t)
+	var target *fakeTarget
+	var relay *Relay
+	now := clock.Now()
+	target = &fakeTarget{attempts: []attemptFunc{func(Request, int) (*Answer, error) {
+		now += clock.Second
+		return nil, &Error{Op: "send", Kind: Broken}
+	}}}
+	relay, _ = newRelay(t, target.send)
+	relay.Blame.Now = func() clock.Millis { return now }
+	send := func() *httptest.ResponseRecorder {
+		got := httptest.NewRecorder()
+		r := Request{ID: "r", Service: "desk", Kind: Stream, Resumable: true, MaxAttempts: 2, SharedParts: []string{"fatal"}, Arrived: clock.Now(), Deadline: clock.Now() + clock.Second}
+		r.OperatorDeadline = r.Deadline
+		relay.Serve(context.Background(), got, r)
+		return got
+	}
+	is.Equal(send().Code, http.StatusBadGateway)
+	is.Equal(target.sent, 2)
+	is.Equal(send().Code, http.StatusBadGateway)
+	is.Equal(target.sent, 3) // the third crash quarantines the part, so that the retry is not sent
+	is.Equal(send().Code, http.StatusServiceUnavailable)
+	is.Equal(target.sent, 3)
+}
+
+// An answer that goes on, or is complete, shows that the parts of its prompt are sound; a stream that breaks later does not
+// count against them, one that breaks early does.
+func TestAnswerClearsParts(t *testing.T) {
+	is := is.New(t)
+	now := clock.Now()
+	answers := []attemptFunc{breakAfter(eventsBetween(1, 1)), breakAfter(eventsBetween(1, 1)), answerWith(200, eventsBetween(1, 2)), breakAfter("")}
+	target := &fakeTarget{attempts: answers}
+	relay, _ := newRelay(t, target.send)
+	relay.Blame.Now = func() clock.Millis { now += clock.Second; return now }
+	send := func() {
+		defer func() { _ = recover() }()
+		r := Request{ID: "r", Service: "desk", Kind: Stream, MaxAttempts: 1, SharedParts: []string{"part"}, Arrived: clock.Now(), Deadline: clock.Now() + clock.Second}
+		r.OperatorDeadline = r.Deadline
+		relay.Serve(context.Background(), httptest.NewRecorder(), r)
+	}
+	for range 5 { // two early breaks, an answer, and two breaks that come too soon after it to count
+		send()
+	}
+	_, quarantined := relay.Blame.Quarantined([]string{"part"})
+	is.True(!quarantined)
+	now += clock.Minute
+	for range 3 {
+		send()
+	}
+	_, quarantined = relay.Blame.Quarantined([]string{"part"})
+	is.True(quarantined)
+}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -84,6 +84,7 @@
 	TimedOut     Reason = "timed_out"     // the deadline passed, or was too near for a retry, after a target may have run the request
 	TargetFailed Reason = "target_failed" // a target may have run the request, but gave no complete answer
 	Malformed    Reason = "malformed"     // the request is invalid
+	Quarantined  Reason = "quarantined"   // engines crashed under a part of the prompt, see package blame
 	Draining     Reason = "draining"      // the instance shuts down, and might not finish the request
 )
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -17,9 +17,11 @@
 	controller := http.NewResponseController(s.w)
 	events := newEventReader(answer.Body)
 	started := false
+	var startedAt clock.Millis
 	for {
 		event, err := events.next()
 		if eris.Is(err, io.EOF) && started {
+			s.recordAnswering()
 			p.End(board.Succeeded)
 			return "answered", false
 		}
@@ -27,7 +29,7 @@
 			return s.handleFailure(ctx, p, &Error{Op: "stream", Kind: Broken, Err: err})
 		}
 		if !started {
-			started = true
+			started, startedAt = true, clock.Now()
 			s.mayHaveRun = true
 			p.RecordFirstEvent()
 		}
@@ -46,6 +48,9 @@
 		}
 		s.eventsForwarded++
 		now := clock.Now()
+		if now-startedAt >= answeringAfter {
+			s.recordAnswering()
+		}
 		if previous := clock.Millis(s.lastProgress.Swap(int64(now))); s.eventsForwarded > 1 {
 			s.longestGap = max(s.longestGap, now-previous)
 		}
