relay, platform: Log the rate limit that a target names

What the operator saw: a target that had named a limit of 1 request a second got 16 in 4 s (11 allowed), one of 1.2 got 13 (12 allowed). The log said nothing of limits, so that it could not tell whether instances know them and exceed them together, or do not know them.

No logic changes.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -44,6 +44,7 @@
 		return s.handleFailure(ctx, placement, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
+	s.rateLimit = answer.RateLimit
 	switch {
 	case answer.NotRun:
 		if helper := placement.FindHelper(answer.FaultyTarget); helper != "" {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -66,6 +66,7 @@
 	eventsBefore        int             // number of events forwarded by earlier attempts
 	answering           bool            // the current attempt has got further than an engine that crashes under the prompt would
 	target              string          // id of the target of the current attempt
+	rateLimit           *float64        // that the target named in its last answer
 	predictedFirstEvent clock.Millis
 	timeToFirstEvent    clock.Millis // since the request arrived
 	helpers             []string     // ids of targets that prefill a part of the prompt
@@ -98,7 +99,7 @@
 	}
 	metrics.GetOrCreateHistogram(`pier_relay_seconds{service="` + s.Service + `"}`).Update(float64(took) / 1000)
 	slog.Info("request", "request", s.ID, "service", s.Service, "customer", s.Customer, "config", s.ConfigVersion,
-		"outcome", outcome, "target", s.target, "helpers", s.helpers, "sent", s.attemptsSent, "unreachable", s.unreachableTargets,
+		"outcome", outcome, "target", s.target, "limit", s.rateLimit, "helpers", s.helpers, "sent", s.attemptsSent, "unreachable", s.unreachableTargets,
 		"prompt", s.PromptTokens, "parts", s.SharedParts, "predicted_ms", int64(s.predictedFirstEvent), "first_ms", int64(s.timeToFirstEvent), "aim_ms", int64(s.FirstEventSLO),
 		"events", s.eventsForwarded, "pause_ms", int64(s.longestGap), "pause_aim_ms", int64(s.EventGapSLO),
 		"left_ms", int64(s.Deadline-clock.Now()), "took_ms", int64(took))
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -63,8 +63,9 @@
 	Status       int
 	Header       http.Header // end-to-end headers, to be forwarded
 	Body         io.ReadCloser
-	NotRun       bool   // the target states that it has not run and will not run the request
-	FaultyTarget string // id of another target that caused the failure, if the target names one
+	RateLimit    *float64 // requests per second that the target takes from all instances together; nil if it names no limit
+	NotRun       bool     // the target states that it has not run and will not run the request
+	FaultyTarget string   // id of another target that caused the failure, if the target names one
 }
 
 // Reason says why the caller gets no answer from a target.
