blame: Blame one part for a crash, and try a quarantined part soon

Cause: after the restart no instance knew which parts are sound. Each crash broke prompts with many parts, so that 20 sound parts had three crashes before the first answer; and what is refused can't be answered, so that they stayed quarantined until the trial ten minutes later.

Change: the part with the most crashes explains these, and others need three further ones; the decision is a function of the known crashes, so that all instances decide alike. A request is let through after 1, 8 and 64 s, then every ten minutes, by whichever instance gets one first, which tells the others. An answer counts 0.2 s after its first event, not 0.5 s.

Tried and dropped: deleting explained crashes (instances judged differently, found by TestCrashesAddUpOverInstances); trials by one instance (parts stayed refused for 11 s).

Tests: TestOnlyFatalPartBlamedAfterRestart (fails without the explanation), TestTrialEndsQuarantine, TestTrialsRare.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -1,6 +1,7 @@
 package blame
 
 import (
+	"cmp"
 	"log/slog"
 	"slices"
 	"sync"
@@ -16,7 +17,9 @@
 	minCrashGap         = 100 * clock.Millis(1) // crashes closer together count as one, as a host or a rack fails with all its targets
 	sameCrashWindow     = clock.Second          // within which reports about one target are about the same crash
 	soundTime           = clock.Minute          // after an answer, for which a part is not suspected
-	trialInterval       = 10 * clock.Minute     // after which one request with a quarantined part is let through again
+	firstTrialWait      = clock.Second          // after which one request with a quarantined part is let through again, see trialWait
+	trialWaitFactor     = 8                     // by which the wait grows with each trial
+	maxTrialWait        = 10 * clock.Minute     // between trials
 	forgetAfter         = clock.Hour            // after its last crash, when a part that nobody asks for is forgotten
 	maxSuspects         = 1024                  // suspected parts that are kept; those with the oldest crashes go first
 	maxCrashesPerPart   = 16                    // of a part that are kept
@@ -38,15 +41,29 @@
 // suspect is a part of prompts that targets crashed under.
 type suspect struct {
 	crashes     []crash      // by time
-	trialAt     clock.Millis // when a request with a quarantined part is let through
 	quarantined bool         // enough crashes speak against the part
+	trials      int          // requests with the quarantined part that instances have let through
+	trialAt     clock.Millis // when the next one is
 }
 
-// separateCrashes returns the number of crashes, of which those within minCrashGap count as one.
-func (s *suspect) separateCrashes() int {
+// trialWait returns the time until the next trial. The first one comes soon, as a part may be blamed wrongly when little is
+// known, as after a restart of all instances; further ones are rare, as each may cost a target and all its requests.
+func (s *suspect) trialWait() clock.Millis {
+	wait := firstTrialWait
+	for range s.trials {
+		wait = min(wait*trialWaitFactor, maxTrialWait)
+	}
+	return wait
+}
+
+// separateCrashes returns the number of crashes without the explained ones. Those within minCrashGap count as one.
+func (s *suspect) separateCrashes(explained []crash) int {
 	count := 0
 	last := clock.Millis(0)
 	for _, c := range s.crashes {
+		if slices.ContainsFunc(explained, c.same) {
+			continue
+		}
 		if count == 0 || c.at-last >= minCrashGap {
 			count++
 			last = c.at
@@ -84,7 +101,8 @@
 	scheduled bool // a flush of the pending report is due
 }
 
-// Quarantined reports whether the prompt has a part that is quarantined, and the time until one is let through again.
+// Quarantined reports whether the prompt has a part that is quarantined, and when the caller may try again. From time to
+// time it lets a request through on trial, and tells the other instances.
 func (t *Tracker) Quarantined(parts []string) (wait clock.Millis, quarantined bool) {
 	if len(parts) == 0 {
 		return 0, false
@@ -97,12 +115,14 @@
 		if s == nil || !s.quarantined {
 			continue
 		}
-		if now >= s.trialAt {
-			s.trialAt = now + trialInterval
-			slog.Info("quarantined part let through on trial", "part", part)
-			continue
+		if now < s.trialAt {
+			return s.trialAt - now, true
 		}
-		return s.trialAt - now, true
+		s.trials++
+		s.trialAt = now + s.trialWait()
+		slog.Info("quarantined part let through on trial", "part", part, "trial", s.trials)
+		t.pending.Trials = append(t.pending.Trials, Trial{Part: part, Count: s.trials, Wait: s.trialAt}) // flush replaces the time by the wait
+		t.schedule(0)
 	}
 	return 0, false
 }
@@ -117,7 +137,7 @@
 	for _, part := range parts {
 		if t.clear(part) {
 			t.pending.Sound = append(t.pending.Sound, part)
-			t.schedule()
+			t.schedule(flushDelay)
 		}
 	}
 }
@@ -133,7 +153,7 @@
 		now := t.Now()
 		if t.accuse(part, crash{target, now}) {
 			t.pending.Crashes = append(t.pending.Crashes, Crash{Part: part, Target: target, Age: now}) // flush replaces the time by the age
-			t.schedule()
+			t.schedule(flushDelay)
 		}
 	}
 }
@@ -147,8 +167,9 @@
 	}
 	delete(t.suspects, part)
 	if s.quarantined {
-		slog.Info("part no longer quarantined, as it was answered", "part", part)
+		slog.Info("part no longer quarantined", "part", part, "reason", "answered")
 	}
+	t.judge()
 	return true
 }
 
@@ -170,23 +191,52 @@
 		t.suspects[part] = s
 	}
 	s.add(c)
-	if s.separateCrashes() >= crashesToQuarantine {
+	t.judge()
+	return true
+}
+
+// judge decides anew which parts are quarantined. The part with the most crashes goes first and explains these, so that they
+// do not count against parts whose requests were only on the same targets.
+func (t *Tracker) judge() {
+	var parts []string
+	counts := make(map[string]int)
+	for part, s := range t.suspects {
+		if counts[part] = s.separateCrashes(nil); counts[part] >= crashesToQuarantine {
+			parts = append(parts, part)
+		}
+	}
+	slices.SortFunc(parts, func(a, b string) int { return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b)) })
+	var explained []crash
+	for _, part := range parts {
+		s := t.suspects[part]
+		if s.separateCrashes(explained) < crashesToQuarantine {
+			t.release(part, s)
+			continue
+		}
+		explained = append(explained, s.crashes...)
 		t.quarantine(part, s)
 	}
-	return true
 }
 
-// quarantine quarantines a part, or renews its quarantine.
+// quarantine quarantines a part.
 func (t *Tracker) quarantine(part string, s *suspect) {
-	s.trialAt = s.lastCrash() + trialInterval
 	if s.quarantined {
 		return
 	}
 	s.quarantined = true
+	s.trialAt = t.Now() + s.trialWait()
 	metrics.GetOrCreateCounter(`pier_blame_quarantined_total`).Inc()
 	slog.Info("part quarantined", "part", part, "crashes", len(s.crashes), "target", s.crashes[len(s.crashes)-1].target)
 }
 
+// release ends the quarantine of a part whose crashes another part explains.
+func (t *Tracker) release(part string, s *suspect) {
+	if s.quarantined {
+		s.quarantined = false
+		slog.Info("part no longer quarantined", "part", part, "reason", "explained")
+	}
+}
+
 // makeRoom drops the suspect with the oldest crash if there are too many.
 func (t *Tracker) makeRoom() {
 	if len(t.suspects) < maxSuspects {
@@ -211,15 +261,15 @@
 	}
 }
 
-// schedule makes the pending report go out soon.
-func (t *Tracker) schedule() {
-	if t.scheduled {
+// schedule makes the pending report go out after a delay.
+func (t *Tracker) schedule(delay clock.Millis) {
+	if t.scheduled && delay > 0 {
 		return
 	}
 	t.scheduled = true
 	if t.After != nil {
-		t.After(flushDelay.Duration(), t.flush)
+		t.After(delay.Duration(), t.flush)
 		return
 	}
-	time.AfterFunc(flushDelay.Duration(), t.flush)
+	time.AfterFunc(delay.Duration(), t.flush)
 }
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -53,7 +53,7 @@
 		f.trackers[i].RecordCrash(parts, target)
 	}
 	f.settle()
-	f.now += clock.Second
+	f.now += minCrashGap
 }
 
 // quarantines returns how many instances refuse a part.
@@ -101,6 +101,28 @@
 	is.Equal(f.quarantines("rare"), 0) // the answer has ended the suspicion
 }
 
+// Guards against: after a restart of all instances, when no part is known to be sound, every part that is on the engines
+// which crash is refused. Those that are also in prompts without the fatal part are answered soon.
+func TestOnlyFatalPartBlamedAfterRestart(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	for n := range 12 {
+		prompts := map[int][]string{
+			n % 3:       {"common", "fatal"},
+			(n + 1) % 3: {"common", fmt.Sprint("popular", n%2)},
+			(n + 2) % 3: {"other", fmt.Sprint("popular", n%4)},
+		}
+		f.crash(fmt.Sprint("engine", n), prompts)
+	}
+	for _, part := range []string{"other", "popular0", "popular1", "popular2", "popular3"} {
+		is.Equal(f.quarantines(part), 0)
+	}
+	f.trackers[2].RecordAnswer([]string{"common", "popular0"})
+	f.settle()
+	is.Equal(f.quarantines("common"), 0)
+	is.Equal(f.quarantines("fatal"), 3)
+}
+
 // Guards against: the loss of a host with many engines, or several reports of one crash, count as many crashes.
 func TestSimultaneousCrashesCountOnce(t *testing.T) {
 	is := is.New(t)
@@ -158,29 +180,63 @@
 	}
 }
 
-// Guards against: a quarantine that nothing ends. Each instance lets one request through after trialInterval; its answer
-// ends the quarantine everywhere, a crash renews it.
-func TestTrial(t *testing.T) {
+// Guards against: a part that was blamed wrongly, as when all instances had just restarted, is refused for long. Its home
+// lets one request through a second later; an answer ends the quarantine everywhere.
+func TestTrialEndsQuarantine(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(3)
-	for n := range crashesToQuarantine {
-		f.crash(fmt.Sprint("engine", n), map[int][]string{0: {"part"}})
-	}
-	wait, _ := f.trackers[1].Quarantined([]string{"part"})
-	is.True(wait > trialInterval-2*clock.Second && wait <= trialInterval)
-	f.now += trialInterval
-	_, quarantined := f.trackers[1].Quarantined([]string{"part"})
-	is.True(!quarantined) // the trial
-	f.crash("engine9", map[int][]string{1: {"part"}})
+	f.quarantineAtOnce("part")
 	is.Equal(f.quarantines("part"), 3)
-	f.now += trialInterval
-	_, quarantined = f.trackers[1].Quarantined([]string{"part"})
-	is.True(!quarantined)
-	f.trackers[1].RecordAnswer([]string{"part"})
+	f.now += firstTrialWait
+	is.Equal(f.letThrough("part"), 1)
+	f.trackers[0].RecordAnswer([]string{"part"})
 	f.settle()
 	is.Equal(f.quarantines("part"), 0)
 }
 
+// quarantineAtOnce makes targets crash under a part until it is quarantined, at the latest moment.
+func (f *fleet) quarantineAtOnce(part string) {
+	for n := range crashesToQuarantine {
+		f.now += minCrashGap
+		f.trackers[0].RecordCrash([]string{part}, fmt.Sprint("engine", n))
+		f.settle()
+	}
+}
+
+// Guards against: trials crash one engine after the other. At most three requests with a fatal part reach engines in the
+// four minutes after it is quarantined.
+func TestTrialsRare(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	f.quarantineAtOnce("fatal")
+	let := 0
+	for n := 0; n < 4*60; n++ {
+		f.now += clock.Second
+		if f.letThrough("fatal") > 0 {
+			let++
+			f.trackers[n%3].RecordCrash([]string{"fatal"}, fmt.Sprint("trial", n))
+			f.settle()
+		}
+	}
+	is.Equal(let, 3)
+	f.trackers[1] = f.newTracker(1)
+	f.repeat(0)
+	f.now += clock.Second
+	is.Equal(f.letThrough("fatal"), 0) // an instance that has restarted knows of the trials
+}
+
+// letThrough returns how many of the instances, asked one after the other, let a request with a part through.
+func (f *fleet) letThrough(part string) int {
+	n := 0
+	for _, t := range f.trackers {
+		if _, quarantined := t.Quarantined([]string{part}); !quarantined {
+			n++
+		}
+		f.settle()
+	}
+	return n
+}
+
 // The state is bounded, and what is old is forgotten.
 func TestStateBounded(t *testing.T) {
 	is := is.New(t)
--- a/internal/blame/report.go
+++ b/internal/blame/report.go
@@ -7,7 +7,7 @@
 	"github.com/corianderpier/corianderpier/internal/clock"
 )
 
-const maxReportEntries = 12 // of each kind in one report, so that it fits into a datagram
+const maxReportEntries = 10 // of each kind in one report, so that it fits into a datagram
 
 // Crash is a crash that speaks against a part, as instances tell each other.
 type Crash struct {
@@ -16,19 +16,27 @@
 	Age    clock.Millis `cbor:"3,keyasint,omitempty"` // since the crash
 }
 
+// Trial tells how many requests with a quarantined part were let through.
+type Trial struct {
+	Part  string       `cbor:"1,keyasint"`
+	Count int          `cbor:"2,keyasint,omitempty"`
+	Wait  clock.Millis `cbor:"3,keyasint,omitempty"` // until the next one
+}
+
 // Report is what an instance tells the others about parts of prompts.
 type Report struct {
 	Crashes []Crash  `cbor:"1,keyasint,omitempty"`
 	Sound   []string `cbor:"2,keyasint,omitempty"` // suspected parts that were answered
+	Trials  []Trial  `cbor:"3,keyasint,omitempty"`
 }
 
 // split returns reports of at most maxReportEntries entries of each kind.
 func (r Report) split() []Report {
 	var reports []Report
-	for len(r.Crashes)+len(r.Sound) > 0 {
-		crashes, sound := min(len(r.Crashes), maxReportEntries), min(len(r.Sound), maxReportEntries)
-		reports = append(reports, Report{Crashes: r.Crashes[:crashes], Sound: r.Sound[:sound]})
-		r.Crashes, r.Sound = r.Crashes[crashes:], r.Sound[sound:]
+	for len(r.Crashes)+len(r.Sound)+len(r.Trials) > 0 {
+		crashes, sound, trials := min(len(r.Crashes), maxReportEntries), min(len(r.Sound), maxReportEntries), min(len(r.Trials), maxReportEntries)
+		reports = append(reports, Report{Crashes: r.Crashes[:crashes], Sound: r.Sound[:sound], Trials: r.Trials[:trials]})
+		r.Crashes, r.Sound, r.Trials = r.Crashes[crashes:], r.Sound[sound:], r.Trials[trials:]
 	}
 	return reports
 }
@@ -64,6 +72,7 @@
 		for _, c := range s.crashes {
 			r.Crashes = append(r.Crashes, Crash{Part: part, Target: c.target, Age: now - c.at})
 		}
+		r.Trials = append(r.Trials, Trial{Part: part, Count: s.trials, Wait: s.trialAt - now})
 	}
 	return r
 }
@@ -80,11 +89,16 @@
 		at := now - c.Age
 		if answered, ok := t.sound.get(c.Part); ok && now-answered < soundTime {
 			t.pending.Sound = append(t.pending.Sound, c.Part)
-			t.schedule()
+			t.schedule(flushDelay)
 			continue
 		}
 		t.accuse(c.Part, crash{c.Target, at})
 	}
+	for _, trial := range r.Trials {
+		if s := t.suspects[trial.Part]; s != nil && s.quarantined && trial.Count > s.trials {
+			s.trials, s.trialAt = trial.Count, now+trial.Wait
+		}
+	}
 }
 
 // flush broadcasts the pending report.
@@ -97,6 +111,9 @@
 	for n := range pending.Crashes {
 		pending.Crashes[n].Age = now - pending.Crashes[n].Age
 	}
+	for n := range pending.Trials {
+		pending.Trials[n].Wait -= now
+	}
 	for _, r := range pending.split() {
 		t.Broadcast(r)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,7 +23,7 @@
 	stallTimeout           = 1200 * clock.Millis(1) // without an event, after which an attempt at a target that is reported down is cancelled
 	stallCheckInterval     = 200 * clock.Millis(1)
 	maxReservationFailures = 3                     // failures to reserve memory on helpers after which a request is refused
-	answeringAfter         = 500 * clock.Millis(1) // after the first event of an attempt, when its engine has not crashed under the prompt
+	answeringAfter         = 200 * clock.Millis(1) // after the first event of an attempt, when its engine would have crashed if a part of the prompt were fatal
 	minTimeLeft            = 20 * clock.Millis(1)  // before the deadline; a request with less time left is refused
 )
 
@@ -64,7 +64,7 @@
 	lastEventID         int             // of the last event forwarded to the caller
 	eventsForwarded     int             // number of events forwarded to the caller
 	eventsBefore        int             // number of events forwarded by earlier attempts
-	answering           bool            // the current attempt has got further than an engine that crashes under the prompt would
+	answering           bool            // the target of the current attempt answers it, see answeringAfter
 	target              string          // id of the target of the current attempt
 	rateLimit           *float64        // that the target named in its last answer
 	predictedFirstEvent clock.Millis
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -254,8 +254,9 @@
 	answers := []attemptFunc{breakAfter(eventsBetween(1, 1)), breakAfter(eventsBetween(1, 1)), answerWith(200, eventsBetween(1, 2)), breakAfter("")}
 	target := &fakeTarget{attempts: answers}
 	relay, _ := newRelay(t, target.send)
-	relay.Blame.Now = func() clock.Millis { now += clock.Second; return now }
+	relay.Blame.Now = func() clock.Millis { return now }
 	send := func() {
+		now += clock.Second
 		defer func() { _ = recover() }()
 		r := Request{ID: "r", Service: "desk", Kind: Stream, MaxAttempts: 1, SharedParts: []string{"part"}, Arrived: clock.Now(), Deadline: clock.Now() + clock.Second}
 		r.OperatorDeadline = r.Deadline
