board, relay, platform: Keep the rate limits that targets name

What the operator saw: a target that had named a limit of 1 request a second got 16 in 4 s (11 allowed), one of 1.2 got 13 (12 allowed).

Cause: the limit in a target's answers was not read; placement went on as before. Nine instances share the targets, so that each one keeping the limit alone would not have kept it either.

Change: each instance has a token bucket for a limited target, and takes a token for every placement that it makes or hears of, and for probes, which become rarer. What is taken too much is paid back. The limit and its end are broadcast. Instances that do not hear of all placements leave the target to the others.

Why this works: all placements are broadcast as they are made, so that the buckets of all instances agree but for some ms; the debt bounds what these cost.

Ruled out: an even part of the limit for each instance (bursts, and parts that nobody uses).

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -28,6 +28,8 @@
 	Engine    func(service string) (model.Engine, bool) // capacity and speed of a service's engines; false for a plain service
 	Broadcast func(data []byte)                         // sends a datagram to all other instances of the cell
 	InCell    func(target string) bool                  // whether a target belongs to this instance's cell; nil if all do
+	// HearsPlacements reports whether this instance hears of the placements of all others on a target; nil if it does.
+	HearsPlacements func(target string) bool
 	// Monitors reports whether this instance probes a target. Probe asks a target for its state and returns its slowdown,
 	// the actual duration as a multiple of what its model predicts. A nil Probe disables probing.
 	Monitors func(target string) bool
@@ -54,6 +56,7 @@
 	Failed      []string        `cbor:"6,keyasint,omitempty"` // ids of targets at which a request failed, once per request
 	Unreachable []string        `cbor:"7,keyasint,omitempty"` // ids of targets that could not be reached
 	Probes      []ProbeResult   `cbor:"8,keyasint,omitempty"`
+	Limits      []TargetLimit   `cbor:"9,keyasint,omitempty"`
 }
 
 // Init prepares the state; it must be called before all other methods.
@@ -147,10 +150,13 @@
 // place is Place on the control loop.
 func (b *Board) place(req Requirements) (*Placement, error) {
 	now := clock.Now()
-	targets := b.eligibleTargets(now, req, b.inCell)
+	targets, limited := b.eligibleTargets(now, req, b.inCell)
 	engine, isEngine := b.Engine(req.Service)
 	if isEngine && req.exceeds(engine, len(targets)) {
-		targets = b.eligibleTargets(now, req, anyCell)
+		targets, limited = b.eligibleTargets(now, req, anyCell)
+	}
+	if len(targets) == 0 && limited {
+		return nil, &Error{Op: "place", Kind: Limited}
 	}
 	if len(targets) == 0 {
 		return nil, &Error{Op: "place", Kind: NoTarget}
@@ -194,14 +200,17 @@
 }
 
 // eligibleTargets returns the targets that may run a request. If there are none in the cell, it falls back to those of other
-// cells, then to ejected targets, and then to the targets that the request excludes.
-func (b *Board) eligibleTargets(now clock.Millis, req Requirements, inCell func(target string) bool) []*targetState {
+// cells, then to ejected targets, and then to the targets that the request excludes. limited reports whether targets were left
+// out because of their rate limits.
+func (b *Board) eligibleTargets(now clock.Millis, req Requirements, inCell func(target string) bool) (eligible []*targetState, limited bool) {
 	var usable, elsewhere, ejected, excluded []*targetState
 	for _, s := range b.targets {
 		if s.Service != req.Service || s.delisted || s.Draining {
 			continue
 		}
 		switch {
+		case !b.mayUse(now, s):
+			limited = true
 		case req.Exclude[s.ID]:
 			excluded = append(excluded, s)
 		case s.usable(now) && inCell(s.ID):
@@ -214,10 +223,10 @@
 	}
 	for _, targets := range [][]*targetState{usable, elsewhere, ejected} {
 		if len(targets) > 0 {
-			return targets
+			return targets, limited
 		}
 	}
-	return excluded
+	return excluded, limited
 }
 
 // anyCell is used in place of Board.inCell when targets of all cells are eligible.
--- a/internal/board/broadcast.go
+++ b/internal/board/broadcast.go
@@ -11,7 +11,7 @@
 
 // empty reports whether a datagram has no content.
 func (p packet) empty() bool {
-	return len(p.Placed)+len(p.FirstEvents)+len(p.Ended)+len(p.Failed)+len(p.Unreachable)+len(p.Probes) == 0
+	return len(p.Placed)+len(p.FirstEvents)+len(p.Ended)+len(p.Failed)+len(p.Unreachable)+len(p.Probes)+len(p.Limits) == 0
 }
 
 // flush broadcasts the changes since the last flush.
@@ -129,6 +129,9 @@
 	for _, number := range p.Ended {
 		b.removeRequest(requestKey{p.From, number})
 	}
+	for _, change := range p.Limits {
+		b.applyLimit(change)
+	}
 	for _, r := range p.Probes {
 		b.applyProbe(r)
 	}
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -164,11 +164,12 @@
 	return candidates[:min(len(candidates), parts-1)]
 }
 
-// rankHelpers returns the engines other than first with enough free memory for a part, the cheapest ones first.
+// rankHelpers returns the engines other than first with enough free memory for a part, the cheapest ones first. An engine
+// that names a rate limit helps nobody.
 func rankHelpers(now clock.Millis, req Requirements, targets []*targetState, parts, memory int, first *targetState) []candidate {
 	candidates := make([]candidate, 0, len(targets))
 	for _, s := range targets {
-		if s != first && s.hasMemory(memory) {
+		if s != first && !s.limit.named && s.hasMemory(memory) {
 			candidates = append(candidates, s.evaluate(now, req, parts, true))
 		}
 	}
--- a/internal/board/probe.go
+++ b/internal/board/probe.go
@@ -43,7 +43,7 @@
 	var targets []Target
 	b.Loop.Call(func() {
 		for id, s := range b.targets {
-			if !s.delisted && !s.Draining && s.schedule.Engine.PrefillRate > 0 && b.Monitors(id) {
+			if !s.delisted && !s.Draining && s.schedule.Engine.PrefillRate > 0 && b.Monitors(id) && s.limit.probeDue(clock.Now()) {
 				targets = append(targets, s.Target)
 			}
 		}
@@ -89,6 +89,7 @@
 		return
 	}
 	now := clock.Now()
+	s.limit.take(now)
 	if !r.Down {
 		s.reportedSlowdown, s.reportedAt = r.Slowdown, now
 		if s.down {
--- a/internal/board/target.go
+++ b/internal/board/target.go
@@ -31,6 +31,7 @@
 	reportedAt       clock.Millis // when that probe was answered
 	answerTime       float64      // moving average of the time to a complete answer, milliseconds
 	lastAnswerAt     clock.Millis // when the last answer was complete
+	limit            rateLimit
 	schedule         model.Schedule
 	baseline         model.Forecast // forecast without the request that is being placed
 }
--- a/internal/board/tracking.go
+++ b/internal/board/tracking.go
@@ -24,6 +24,9 @@
 			task.PrefillLeft = 0
 		}
 		s.schedule.Add(float64(now), task)
+		if r.Age <= rebroadcastInterval { // an older one is told of again, and was counted before
+			s.limit.take(now)
+		}
 		s.assignments = append(s.assignments, &assignment{requestKey: k, request: r, placedAt: now - r.Age, task: task})
 	}
 }
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -33,6 +33,9 @@
 // Duration converts a duration to a time.Duration.
 func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
 
+// Seconds returns the number of seconds.
+func (m Millis) Seconds() float64 { return float64(m) / float64(Second) }
+
 // Time converts a time since the Unix epoch to a time.Time with a monotonic clock reading.
 func (m Millis) Time() time.Time {
 	return processStart.Add(m.Duration() - time.Duration(processStart.UnixNano()))
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -44,7 +44,9 @@
 		return s.handleFailure(ctx, placement, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	s.rateLimit = answer.RateLimit
+	if s.rateLimit = answer.RateLimit; s.rateLimit != nil || !answer.NotRun {
+		placement.RecordRateLimit(s.rateLimit)
+	}
 	switch {
 	case answer.NotRun:
 		if helper := placement.FindHelper(answer.FaultyTarget); helper != "" {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -196,6 +196,8 @@
 		return TooLarge
 	case board.Costly:
 		return Costly
+	case board.Limited:
+		return Limited
 	default:
 		return Full
 	}
