blame, relay: Spend no trial on a refused prompt, and count only answers

A prompt with two quarantined parts used up the trial of one although it was refused for the other, and an engine's rejection of a prompt (a 4xx) counted as an answer, which would have ended the quarantine of a fatal part.

Tests: TestTrialOfTwoParts, and TestAnswerClearsParts with a rejection.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -90,9 +89,9 @@
 // Tracker keeps what one instance knows of fatal parts. Its methods may be called from any goroutine.
 type Tracker struct {
 	Now       func() clock.Millis
-	After     func(d time.Duration, f func()) // calls f after a time; nil for time.AfterFunc
-	Broadcast func(r Report)                  // sends a report to all other instances
-	Repeat    func(r Report)                  // sends a report to some other instances, each time to others
+	After     func(delay clock.Millis, f func()) // calls a function on another goroutine after a delay
+	Broadcast func(r Report)                     // sends a report to all other instances
+	Repeat    func(r Report)                     // sends a report to some other instances, each time to others
 
 	mu        sync.Mutex
 	suspects  map[string]*suspect
@@ -111,22 +110,30 @@
 	defer t.mu.Unlock()
 	now := t.Now()
 	for _, part := range parts {
-		s := t.suspects[part]
-		if s == nil || !s.quarantined {
-			continue
+		if s := t.suspects[part]; s != nil && s.quarantined {
+			wait = max(wait, s.trialAt-now)
 		}
-		if now < s.trialAt {
-			return s.trialAt - now, true
+	}
+	if wait > 0 {
+		return wait, true
+	}
+	for _, part := range parts {
+		if s := t.suspects[part]; s != nil && s.quarantined {
+			t.startTrial(part, s)
 		}
-		s.trials++
-		s.trialAt = now + s.trialWait()
-		slog.Info("quarantined part let through on trial", "part", part, "trial", s.trials)
-		t.pending.Trials = append(t.pending.Trials, Trial{Part: part, Count: s.trials, Wait: s.trialAt}) // flush replaces the time by the wait
-		t.schedule(0)
 	}
 	return 0, false
 }
 
+// startTrial records that a request with a quarantined part is let through, and tells the other instances.
+func (t *Tracker) startTrial(part string, s *suspect) {
+	s.trials++
+	s.trialAt = t.Now() + s.trialWait()
+	slog.Info("quarantined part let through on trial", "part", part, "trial", s.trials)
+	t.pending.Trials = append(t.pending.Trials, Trial{Part: part, Count: s.trials, Wait: s.trialAt}) // flush replaces the time by the wait
+	t.schedule(0)
+}
+
 // RecordAnswer records that a target has answered a prompt with these parts, so that none of them is fatal.
 func (t *Tracker) RecordAnswer(parts []string) {
 	if len(parts) == 0 {
@@ -149,8 +156,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.Now()
 	for _, part := range parts {
-		now := t.Now()
 		if t.accuse(part, crash{target, now}) {
 			t.pending.Crashes = append(t.pending.Crashes, Crash{Part: part, Target: target, Age: now}) // flush replaces the time by the age
 			t.schedule(flushDelay)
@@ -173,9 +180,15 @@
 	return true
 }
 
+// knownSound reports whether a part was answered within soundTime.
+func (t *Tracker) knownSound(part string) bool {
+	at, ok := t.sound.get(part)
+	return ok && t.Now()-at < soundTime
+}
+
 // accuse adds a crash to a part, unless the part is known to be sound. It reports whether that is news.
 func (t *Tracker) accuse(part string, c crash) bool {
-	if at, ok := t.sound.get(part); ok && t.Now()-at < soundTime {
+	if t.knownSound(part) {
 		return false
 	}
 	s := t.suspects[part]
@@ -267,9 +280,5 @@
 		return
 	}
 	t.scheduled = true
-	if t.After != nil {
-		t.After(delay.Duration(), t.flush)
-		return
-	}
-	time.AfterFunc(delay.Duration(), t.flush)
+	t.After(delay, t.flush)
 }
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -34,7 +34,7 @@
 			}
 		}
 	}
-	atSettle := func(time.Duration, func()) {} // settle flushes
+	atSettle := func(clock.Millis, func()) {} // settle flushes
 	return &Tracker{Now: func() clock.Millis { return f.now }, After: atSettle, Broadcast: send, Repeat: send}
 }
 
@@ -198,11 +198,28 @@
 func (f *fleet) quarantineAtOnce(part string) {
 	for n := range crashesToQuarantine {
 		f.now += minCrashGap
-		f.trackers[0].RecordCrash([]string{part}, fmt.Sprint("engine", n))
+		f.trackers[0].RecordCrash([]string{part}, fmt.Sprint(part, n))
 		f.settle()
 	}
 }
 
+// A prompt with two quarantined parts is let through only when both may be tried, so that no trial is spent on a refusal.
+func TestTrialOfTwoParts(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	f.quarantineAtOnce("first")
+	f.now += clock.Second / 2
+	f.quarantineAtOnce("second")
+	f.now += clock.Second / 2
+	wait, quarantined := f.trackers[0].Quarantined([]string{"first", "second"})
+	is.True(quarantined && wait > 0)
+	f.now += wait
+	is.Equal(f.trackers[0].suspects["first"].trials, 0)
+	_, quarantined = f.trackers[0].Quarantined([]string{"first", "second"})
+	is.True(!quarantined)
+	is.Equal(f.trackers[0].suspects["first"].trials, 1)
+}
+
 // Guards against: trials crash one engine after the other. At most three requests with a fatal part reach engines in the
 // four minutes after it is quarantined.
 func TestTrialsRare(t *testing.T) {
@@ -265,7 +282,8 @@
 func TestFlush(t *testing.T) {
 	is := is.New(t)
 	sent := make(chan Report, 10)
-	tracker := &Tracker{Now: clock.Now, Broadcast: func(r Report) { sent <- r }}
+	later := func(delay clock.Millis, f func()) { time.AfterFunc(delay.Duration(), f) }
+	tracker := &Tracker{Now: clock.Now, After: later, Broadcast: func(r Report) { sent <- r }}
 	var parts []string
 	for n := range 2*maxReportEntries + 1 {
 		parts = append(parts, fmt.Sprint("part", n))
--- a/internal/blame/report.go
+++ b/internal/blame/report.go
@@ -34,13 +34,21 @@
 func (r Report) split() []Report {
 	var reports []Report
 	for len(r.Crashes)+len(r.Sound)+len(r.Trials) > 0 {
-		crashes, sound, trials := min(len(r.Crashes), maxReportEntries), min(len(r.Sound), maxReportEntries), min(len(r.Trials), maxReportEntries)
-		reports = append(reports, Report{Crashes: r.Crashes[:crashes], Sound: r.Sound[:sound], Trials: r.Trials[:trials]})
-		r.Crashes, r.Sound, r.Trials = r.Crashes[crashes:], r.Sound[sound:], r.Trials[trials:]
+		var next Report
+		next.Crashes, r.Crashes = cut(r.Crashes)
+		next.Sound, r.Sound = cut(r.Sound)
+		next.Trials, r.Trials = cut(r.Trials)
+		reports = append(reports, next)
 	}
 	return reports
 }
 
+// cut divides a list into its first maxReportEntries and the rest.
+func cut[T any](list []T) (first, rest []T) {
+	n := min(len(list), maxReportEntries)
+	return list[:n], list[n:]
+}
+
 // Run repeats what is quarantined until the context ends, so that it reaches instances that have started since, or to which
 // a datagram was lost.
 func (t *Tracker) Run(ctx context.Context) error {
@@ -86,13 +94,12 @@
 		t.clear(part)
 	}
 	for _, c := range r.Crashes {
-		at := now - c.Age
-		if answered, ok := t.sound.get(c.Part); ok && now-answered < soundTime {
+		if t.knownSound(c.Part) {
 			t.pending.Sound = append(t.pending.Sound, c.Part)
 			t.schedule(flushDelay)
 			continue
 		}
-		t.accuse(c.Part, crash{c.Target, at})
+		t.accuse(c.Part, crash{c.Target, now - c.Age})
 	}
 	for _, trial := range r.Trials {
 		if s := t.suspects[trial.Part]; s != nil && s.quarantined && trial.Count > s.trials {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -224,7 +224,9 @@
 	if !whole {
 		return s.forwardLarge(p, answer, body)
 	}
-	s.recordAnswering()
+	if answer.Status == http.StatusOK {
+		s.recordAnswering()
+	}
 	p.End(board.Succeeded)
 	s.writeAnswer(answer, body)
 	return "answered", false
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -90,7 +90,7 @@
 	b.ReplaceTargets([]board.Target{{ID: "one", Service: "desk", Slots: 6}, {ID: "two", Service: "desk", Slots: 6}}, false)
 	budget := &retry.Budget{Limits: func() retry.Limits { return retry.Limits{Extra: 10, Window: clock.Second} }, Now: clock.Now}
 	return &Relay{
-		Place: b.Place, Send: send, Blame: &blame.Tracker{Now: clock.Now, Broadcast: func(blame.Report) {}}, Budget: func(string) *retry.Budget { return budget },
+		Place: b.Place, Send: send, Blame: &blame.Tracker{Now: clock.Now, After: func(clock.Millis, func()) {}, Broadcast: func(blame.Report) {}}, Budget: func(string) *retry.Budget { return budget },
 		RetryAfter: func(Request, Reason) clock.Millis { return 100 },
 		Refuse: func(w http.ResponseWriter, _ Request, refusal Refusal) {
 			if refusal.MayHaveRun {
@@ -251,8 +251,8 @@
 func TestAnswerClearsParts(t *testing.T) {
 	is := is.New(t)
 	now := clock.Now()
-	answers := []attemptFunc{breakAfter(eventsBetween(1, 1)), breakAfter(eventsBetween(1, 1)), answerWith(200, eventsBetween(1, 2)), breakAfter("")}
-	target := &fakeTarget{attempts: answers}
+	early, answered, rejected := breakAfter(eventsBetween(1, 1)), answerWith(200, eventsBetween(1, 2)), answerWith(400, "rejected")
+	target := &fakeTarget{attempts: []attemptFunc{early, early, answered, early, early, early, rejected, early, early}}
 	relay, _ := newRelay(t, target.send)
 	relay.Blame.Now = func() clock.Millis { return now }
 	send := func() {
@@ -268,7 +268,7 @@
 	_, quarantined := relay.Blame.Quarantined([]string{"part"})
 	is.True(!quarantined)
 	now += clock.Minute
-	for range 3 {
+	for range 4 { // three early breaks, and a rejection, which is no answer to the prompt
 		send()
 	}
 	_, quarantined = relay.Blame.Quarantined([]string{"part"})
