blame: Repeat in one datagram what is quarantined

Every half second an instance repeated all crashes of all quarantined parts, up to 16 each, in any number of datagrams: with 20 parts some 30 KB/s for each instance, where control may use 3.

Change: three crashes of a part suffice for the others to quarantine it, and one datagram goes out each time; of many parts each has its turn.

Test: TestRepetitionBounded (the bound is the size of a datagram).

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -55,20 +55,18 @@
 	return wait
 }
 
-// separateCrashes returns the number of crashes without the explained ones. Those within minCrashGap count as one.
-func (s *suspect) separateCrashes(explained []crash) int {
-	count := 0
-	last := clock.Millis(0)
+// separateCrashes returns the crashes without the explained ones, and of those within minCrashGap only the first.
+func (s *suspect) separateCrashes(explained []crash) []crash {
+	var separate []crash
 	for _, c := range s.crashes {
 		if slices.ContainsFunc(explained, c.same) {
 			continue
 		}
-		if count == 0 || c.at-last >= minCrashGap {
-			count++
-			last = c.at
+		if len(separate) == 0 || c.at-separate[len(separate)-1].at >= minCrashGap {
+			separate = append(separate, c)
 		}
 	}
-	return count
+	return separate
 }
 
 // lastCrash returns the time of the latest crash.
@@ -214,7 +212,7 @@
 	var parts []string
 	counts := make(map[string]int)
 	for part, s := range t.suspects {
-		if counts[part] = s.separateCrashes(nil); counts[part] >= crashesToQuarantine {
+		if counts[part] = len(s.separateCrashes(nil)); counts[part] >= crashesToQuarantine {
 			parts = append(parts, part)
 		}
 	}
@@ -222,7 +220,7 @@
 	var explained []crash
 	for _, part := range parts {
 		s := t.suspects[part]
-		if s.separateCrashes(explained) < crashesToQuarantine {
+		if len(s.separateCrashes(explained)) < crashesToQuarantine {
 			t.release(part, s)
 			continue
 		}
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -173,11 +173,26 @@
 	is.Equal(f.quarantines("fatal"), 3)
 }
 
+// What is repeated fits into one datagram, and each of many quarantined parts has its turn.
+func TestRepetitionBounded(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	f.cut[1] = true
+	for n := range 20 {
+		f.quarantineAtOnce(fmt.Sprint("part", n, "-"))
+		f.now += sameCrashWindow
+	}
+	f.cut[1] = false
+	for range 200 {
+		is.True(len(f.trackers[0].quarantineReport().Crashes) <= maxReportEntries)
+		f.repeat(0)
+	}
+	is.Equal(len(f.trackers[1].suspects), 20)
+}
+
 // repeat makes an instance repeat what it has quarantined.
 func (f *fleet) repeat(instance int) {
-	for _, r := range f.trackers[instance].quarantineReport().split() {
-		f.trackers[instance].Repeat(r)
-	}
+	f.trackers[instance].Repeat(f.trackers[instance].quarantineReport())
 }
 
 // Guards against: a part that was blamed wrongly, as when all instances had just restarted, is refused for long. Its home
--- a/internal/blame/report.go
+++ b/internal/blame/report.go
@@ -59,14 +59,15 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			for _, r := range t.quarantineReport().split() {
+			if r := t.quarantineReport(); len(r.Crashes) > 0 {
 				t.Repeat(r)
 			}
 		}
 	}
 }
 
-// quarantineReport returns the crashes of all quarantined parts.
+// quarantineReport returns crashes for which parts are quarantined, as many as fit into one report. The parts come in random
+// order, so that each has its turn if there are many.
 func (t *Tracker) quarantineReport() Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -74,10 +75,11 @@
 	var r Report
 	now := t.Now()
 	for part, s := range t.suspects {
-		if !s.quarantined {
+		if !s.quarantined || len(r.Crashes)+crashesToQuarantine > maxReportEntries {
 			continue
 		}
-		for _, c := range s.crashes {
+		separate := s.separateCrashes(nil)
+		for _, c := range separate[max(0, len(separate)-crashesToQuarantine):] {
 			r.Crashes = append(r.Crashes, Crash{Part: part, Target: c.target, Age: now - c.at})
 		}
 		r.Trials = append(r.Trials, Trial{Part: part, Count: s.trials, Wait: s.trialAt - now})
