--- a/internal/blame/report.go
+++ b/internal/blame/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
 )
@@ -52,18 +51,12 @@
 // Run repeats what is quarantined until the context ends, so that it reaches instances that have started since, or to which
 // a datagram was lost.
 func (t *Tracker) Run(ctx context.Context) error {
-	ticker := time.NewTicker(repeatInterval.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			if r := t.quarantineReport(); len(r.Crashes) > 0 {
-				t.Repeat(r)
-			}
+	clock.Every(ctx, repeatInterval, func() {
+		if r := t.quarantineReport(); len(r.Crashes) > 0 {
+			t.Repeat(r)
 		}
-	}
+	})
+	return nil
 }
 
 // quarantineReport returns crashes for which parts are quarantined, as many as fit into one report. The parts come in random
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -71,18 +70,10 @@
 // Run broadcasts the own requests and probes targets until the context ends.
 func (b *Board) Run(ctx context.Context) error {
 	if b.Probe != nil {
-		go b.monitorTargets(ctx)
-	}
-	rebroadcast := time.NewTicker(rebroadcastInterval.Duration())
-	defer rebroadcast.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-rebroadcast.C:
-			b.Loop.Post(b.rebroadcastAndExpire)
-		}
+		go clock.Every(ctx, probeInterval, func() { b.probeTargets(ctx) })
 	}
+	clock.Every(ctx, rebroadcastInterval, func() { b.Loop.Post(b.rebroadcastAndExpire) })
+	return nil
 }
 
 // ReplaceTargets replaces the list of targets. If the list is uncertain, as after an outage of its source, targets
--- a/internal/board/probe.go
+++ b/internal/board/probe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -23,22 +22,8 @@
 	Down     bool    `cbor:"3,keyasint,omitempty"`
 }
 
-// monitorTargets probes the engines that this instance monitors until the context ends.
-func (b *Board) monitorTargets(ctx context.Context) {
-	ticker := time.NewTicker(probeInterval.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			b.probeTargets(ctx)
-		}
-	}
-}
-
-// probeTargets probes each monitored engine once. If more than half of them, and at least two, do not answer, the
-// likely fault is this instance's own network, and the results are dropped.
+// probeTargets probes each engine that this instance monitors once. If more than half of them, and at least two, do not
+// answer, the likely fault is this instance's own network, and the results are dropped.
 func (b *Board) probeTargets(ctx context.Context) {
 	var targets []Target
 	b.Loop.Call(func() {
--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -61,16 +61,8 @@
 // Run reloads the certificate whenever its files change, until the context ends. If the new files cannot be used, it
 // keeps the current certificate.
 func (s *Source) Run(ctx context.Context) error {
-	ticker := time.NewTicker(pollInterval.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			s.reloadIfChanged()
-		}
-	}
+	clock.Every(ctx, pollInterval, s.reloadIfChanged)
+	return nil
 }
 
 // TLSConfig returns a server configuration that looks up the current certificate at each handshake.
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -74,6 +74,20 @@
 	return time.Duration(factor * float64(unit)), nil
 }
 
+// Every calls f at regular intervals until the context ends. Calls that would come while f runs are left out.
+func Every(ctx context.Context, interval Millis, f func()) {
+	ticker := time.NewTicker(interval.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f()
+		}
+	}
+}
+
 // Sleep waits for a duration. If the context ends first, it returns the context's error.
 func Sleep(ctx context.Context, d Millis) error {
 	timer := time.NewTimer(d.Duration())
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -91,22 +91,19 @@
 // Run reconciles the engines at regular intervals until the context ends.
 func (r *Reconciler) Run(ctx context.Context) error {
 	r.services = make(map[string]*serviceOrders)
-	ticker := time.NewTicker(reconcileInterval.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
+	clock.Every(ctx, reconcileInterval, func() { r.reconcileAll(ctx) })
+	return nil
+}
+
+// reconcileAll reconciles the engines of all services once.
+func (r *Reconciler) reconcileAll(ctx context.Context) {
+	for _, s := range r.Config().Services {
+		if len(s.Models) == 0 {
+			continue
 		}
-		for _, s := range r.Config().Services {
-			if len(s.Models) == 0 {
-				continue
-			}
-			if err := r.reconcile(ctx, s); err != nil {
-				countEvent("failed")
-				slog.Warn("cannot reconcile engines", "service", s.Name, "error", err)
-			}
+		if err := r.reconcile(ctx, s); err != nil {
+			countEvent("failed")
+			slog.Warn("cannot reconcile engines", "service", s.Name, "error", err)
 		}
 	}
 }
--- a/internal/route/ledger.go
+++ b/internal/route/ledger.go
@@ -103,16 +103,8 @@
 
 // Run expires grants and retries pending requests periodically until the context ends.
 func (l *Ledger) Run(ctx context.Context) error {
-	ticker := time.NewTicker(ledgerInterval.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			l.Loop.Post(l.tick)
-		}
-	}
+	clock.Every(ctx, ledgerInterval, func() { l.Loop.Post(l.tick) })
+	return nil
 }
 
 // Reserve waits until the memory is granted or refused. An error means that ctx ended first, so that this instance
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -82,18 +82,11 @@
 // renew renews the leases periodically until they are released.
 func (s *LeaseSet) renew(ctx context.Context) {
 	interval := clock.Millis(float64(s.manager.leaseTime()) / renewalsPerLease)
-	ticker := time.NewTicker(interval.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	clock.Every(ctx, interval, func() {
 		for _, l := range s.leases {
 			go s.renewLease(ctx, l)
 		}
-	}
+	})
 }
 
 // renewLease renews one lease once; a failure is logged and left to the next renewal.
