--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -40,12 +40,12 @@
 // suspect is a part of prompts that targets crashed under.
 type suspect struct {
 	crashes     []crash      // by time
-	quarantined bool         // enough crashes speak against the part
+	quarantined bool         // there are enough crashes
 	trials      int          // requests with the quarantined part that instances have let through
 	trialAt     clock.Millis // when the next one is
 }
 
-// trialWait returns the time until the next trial. The first one comes soon, as a part may be blamed wrongly when little is
+// trialWait returns the time until the next trial. The first one comes soon, as a part may be quarantined wrongly when little is
 // known, as after a restart of all instances; further ones are rare, as each may cost a target and all its requests.
 func (s *suspect) trialWait() clock.Millis {
 	wait := firstTrialWait
@@ -140,7 +140,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, part := range parts {
-		if t.clear(part) {
+		if t.markSound(part) {
 			t.pending.Sound = append(t.pending.Sound, part)
 			t.schedule(flushDelay)
 		}
@@ -156,15 +156,15 @@
 	defer t.mu.Unlock()
 	now := t.Now()
 	for _, part := range parts {
-		if t.accuse(part, crash{target, now}) {
+		if t.addCrash(part, crash{target, now}) {
 			t.pending.Crashes = append(t.pending.Crashes, Crash{Part: part, Target: target, Age: now}) // flush replaces the time by the age
 			t.schedule(flushDelay)
 		}
 	}
 }
 
-// clear records that a part is sound. It reports whether the part was suspected.
-func (t *Tracker) clear(part string) bool {
+// markSound records that a part is sound. It reports whether the part was suspected.
+func (t *Tracker) markSound(part string) bool {
 	t.sound.add(part, t.Now())
 	s := t.suspects[part]
 	if s == nil {
@@ -174,7 +174,7 @@
 	if s.quarantined {
 		slog.Info("part no longer quarantined", "part", part, "reason", "answered")
 	}
-	t.judge()
+	t.reevaluate()
 	return true
 }
 
@@ -184,8 +184,8 @@
 	return ok && t.Now()-at < soundTime
 }
 
-// accuse adds a crash to a part, unless the part is known to be sound. It reports whether that is news.
-func (t *Tracker) accuse(part string, c crash) bool {
+// addCrash adds a crash to a part, unless the part is known to be sound. It reports whether that is news.
+func (t *Tracker) addCrash(part string, c crash) bool {
 	if t.knownSound(part) {
 		return false
 	}
@@ -202,13 +202,13 @@
 		t.suspects[part] = s
 	}
 	s.add(c)
-	t.judge()
+	t.reevaluate()
 	return true
 }
 
-// judge decides anew which parts are quarantined. The part with the most crashes goes first and explains these, so that they
+// reevaluate decides anew which parts are quarantined. The part with the most crashes goes first and explains these, so that they
 // do not count against parts whose requests were only on the same targets.
-func (t *Tracker) judge() {
+func (t *Tracker) reevaluate() {
 	var parts []string
 	counts := make(map[string]int)
 	for part, s := range t.suspects {
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -82,7 +82,7 @@
 }
 
 // Guards against: a part that is asked for rarely, and was on two crashing engines beside the fatal one, is refused.
-func TestBystanderNotBlamed(t *testing.T) {
+func TestPartOfTwoCrashesNotQuarantined(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(2)
 	for n := range crashesToQuarantine {
@@ -103,7 +103,7 @@
 
 // Guards against: after a restart of all instances, when no part is known to be sound, every part that is on the engines
 // which crash is refused. Those that are also in prompts without the fatal part are answered soon.
-func TestOnlyFatalPartBlamedAfterRestart(t *testing.T) {
+func TestOnlyFatalPartQuarantinedAfterRestart(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(3)
 	for n := range 12 {
@@ -198,7 +198,7 @@
 // soundServedAgain is the time after the crashes within which the platform wants sound prompts to be served again.
 const soundServedAgain = 6 * clock.Second
 
-// Guards against: a part that was blamed wrongly, as when all instances had just restarted, is refused for long. One request
+// Guards against: a part that was quarantined wrongly, as when all instances had just restarted, is refused for long. One request
 // is let through soon; its answer ends the quarantine everywhere.
 func TestTrialEndsQuarantine(t *testing.T) {
 	is := is.New(t)
--- a/internal/blame/report.go
+++ b/internal/blame/report.go
@@ -8,7 +8,7 @@
 
 const maxReportEntries = 10 // of each kind in one report, so that it fits into a datagram
 
-// Crash is a crash that speaks against a part, as instances tell each other.
+// Crash is a crash under a prompt with a part, as instances tell each other.
 type Crash struct {
 	Part   string       `cbor:"1,keyasint"`
 	Target string       `cbor:"2,keyasint"`
@@ -86,7 +86,7 @@
 	defer t.mu.Unlock()
 	now := t.Now()
 	for _, part := range r.Sound {
-		t.clear(part)
+		t.markSound(part)
 	}
 	for _, c := range r.Crashes {
 		if t.knownSound(c.Part) {
@@ -94,7 +94,7 @@
 			t.schedule(flushDelay)
 			continue
 		}
-		t.accuse(c.Part, crash{c.Target, now - c.Age})
+		t.addCrash(c.Part, crash{c.Target, now - c.Age})
 	}
 	for _, trial := range r.Trials {
 		if s := t.suspects[trial.Part]; s != nil && s.quarantined && trial.Count > s.trials {
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -55,7 +55,7 @@
 	Failed      []string        `cbor:"6,keyasint,omitempty"` // ids of targets at which a request failed, once per request
 	Unreachable []string        `cbor:"7,keyasint,omitempty"` // ids of targets that could not be reached
 	Probes      []ProbeResult   `cbor:"8,keyasint,omitempty"`
-	Limits      []TargetLimit   `cbor:"9,keyasint,omitempty"`
+	Limits      []TargetLimit   `cbor:"9,keyasint,omitempty"` // changes of rate limits
 }
 
 // Init prepares the state; it must be called before all other methods.
--- a/internal/board/limit.go
+++ b/internal/board/limit.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	limitBurst      = clock.Second / 2 // of a limit: what may be sent at once in addition to one request
+	limitBurst      = clock.Second / 2 // time whose part of a limit may be sent at once, in addition to one request
 	minLimit        = 0.1              // requests per second that are sent to a target with a lower limit, as only its answers tell when the limit ends
-	limitProbeShare = 0.25             // of a limit: what probes may take
+	limitProbeShare = 0.25             // of a limit, which probes may take
 )
 
 // TargetLimit is the rate limit of a target as instances broadcast it.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,7 +23,7 @@
 	stallTimeout           = 1200 * clock.Millis(1) // without an event, after which an attempt at a target that is reported down is cancelled
 	stallCheckInterval     = 200 * clock.Millis(1)
 	maxReservationFailures = 3                     // failures to reserve memory on helpers after which a request is refused
-	answeringAfter         = 200 * clock.Millis(1) // after the first event of an attempt, when its engine would have crashed if a part of the prompt were fatal
+	answeringAfter         = 200 * clock.Millis(1) // after the first event of an attempt, by when an engine has crashed if a part of the prompt is fatal
 	minTimeLeft            = 20 * clock.Millis(1)  // before the deadline; a request with less time left is refused
 )
 
