--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -262,6 +262,7 @@
 	highest := f.Current().Version
 	if o.Version < highest {
 		metrics.GetOrCreateCounter(`pier_feed_refused_total{feed="` + f.Name + `",reason="older"}`).Inc()
+		slog.Info("older object refused", "feed", f.Name, "version", o.Version, "current", highest)
 		return false
 	}
 	if o.Version == highest || len(o.Value) == 0 {
