relay: Continue a begun stream only with its next event

Cause: tryTarget chose by status alone how to forward an answer. It did not ask whether the caller had a part of one already: forwardWhole wrote the other answer after it and called the request answered. Events without an id were not compared with what was sent, so that a text with status 200 passed as well, and a stream without ids was sent again from its start.

Change: once the caller has a part, only an answer of the same status and content type, whose first event is the one that follows, is forwarded; any other is a failed attempt. If there is none left, the connection is closed. The own interface names attempt and offset in each frame and is not affected.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -63,6 +63,8 @@
 	case answer.Status >= http.StatusInternalServerError:
 		s.mayHaveRun = true
 		return s.handleServerError(placement, answer)
+	case s.responseStarted && !s.continues(answer):
+		return s.handleFailure(ctx, placement, &Error{Op: "resume", Kind: Mismatched, Err: eris.Errorf("status %d, type %q", answer.Status, answer.Header.Get("Content-Type"))})
 	case s.Kind == Stream && answer.Status == http.StatusOK:
 		return s.forwardStream(ctx, placement, answer)
 	default:
@@ -70,6 +72,11 @@
 	}
 }
 
+// continues reports whether an answer may go on with the stream that the caller has a part of.
+func (s *requestState) continues(answer *Answer) bool {
+	return answer.Status == http.StatusOK && answer.Header.Get("Content-Type") == s.w.Header().Get("Content-Type")
+}
+
 // impliesNotRun reports whether a caller takes a status to mean that its request has not run. Such a status is forwarded
 // only if the target states explicitly that the request has not run.
 func impliesNotRun(status int) bool {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -29,6 +29,16 @@
 	id   int    // -1 if the event has none
 }
 
+// isComment reports whether the event consists of comments alone.
+func (e event) isComment() bool {
+	for line := range bytes.Lines(e.data) {
+		if text := bytes.TrimRight(line, "\r\n"); len(text) > 0 && text[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // next returns the next event. The error is io.EOF if the stream ends between events, and io.ErrUnexpectedEOF if it ends
 // within one.
 func (r *eventReader) next() (event, error) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -58,6 +58,7 @@
 	reservationFailures int             // attempts whose memory on helpers could not be reserved
 	mayHaveRun          bool            // a target may have run the request
 	responseStarted     bool            // the status and header have been sent to the caller
+	numbered            bool            // an event with an id has been forwarded to the caller, so that the stream can be resumed
 	abortConn           bool            // close the connection to the caller, because the answer is incomplete
 	targetDown          atomic.Bool     // the current attempt was cancelled because its target is down
 	retryReserved       atomic.Bool     // the next attempt is already deducted from the retry budget
@@ -90,6 +91,12 @@
 	}
 }
 
+// retryable reports whether the request may be sent again after a target may have run it. A stream that the caller has a part
+// of must have got to an event with an id, from which another target can go on.
+func (s *requestState) retryable() bool {
+	return s.Request.retryable() && (!s.responseStarted || s.numbered)
+}
+
 // recordOutcome updates the metrics and logs the request with its outcome.
 func (s *requestState) recordOutcome(outcome string) {
 	took := clock.Now() - s.Arrived
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -12,15 +12,16 @@
 )
 
 // forwardStream forwards each event of an answer as it arrives. It fails the attempt if an event id does not follow the last
-// one, since the caller would miss an event or get one twice.
+// one, since the caller would miss an event or get one twice. An answer that resumes a stream has to begin with the event that
+// follows; only comments may come before it.
 func (s *requestState) forwardStream(ctx context.Context, p *board.Placement, answer *Answer) (string, bool) {
 	controller := http.NewResponseController(s.w)
 	events := newEventReader(answer.Body)
-	started := false
+	started, resuming := false, s.responseStarted
 	var startedAt clock.Millis
 	for {
 		event, err := events.next()
-		if eris.Is(err, io.EOF) && started {
+		if eris.Is(err, io.EOF) && started && !resuming {
 			s.recordAnswering()
 			p.End(board.Succeeded)
 			return "answered", false
@@ -33,7 +34,7 @@
 			s.mayHaveRun = true
 			p.RecordFirstEvent()
 		}
-		if event.id >= 0 && event.id != s.lastEventID+1 && s.lastEventID > 0 {
+		if event.id >= 0 && event.id != s.lastEventID+1 && s.lastEventID > 0 || event.id < 0 && resuming && !event.isComment() {
 			return s.handleFailure(ctx, p, &Error{Op: "stream", Kind: Mismatched})
 		}
 		if !s.responseStarted {
@@ -44,7 +45,7 @@
 			s.w.WriteHeader(answer.Status)
 		}
 		if event.id >= 0 {
-			s.lastEventID = event.id
+			s.lastEventID, s.numbered, resuming = event.id, true, false
 		}
 		s.eventsForwarded++
 		now := clock.Now()
