board, feed, platform: Keep a missing target until the store has been back for 2 s

Cause: a target that the list lacks stayed in use for 2 s from then on, if the store had failed or come back within the last 3 s, and until the next tick after that. A worker that was taken out of the list at 20.005 s, 2.5 s after the copy was read, was so used until 22.028 to 23.030 s. What the entries need is 2 s from the store's return, whenever the gap is seen.

Ruled out: a late announcement; all instances had applied the removal by 20.046 s.

Change: the list is incomplete until 2 s after the source answered again, or after the first list of a new era, and a missing target is closed at that moment, not at a tick. A call that began before the source last answered is no sign of a new outage.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -14,7 +14,6 @@
 	flushInterval       = 50 * clock.Millis(1)   // between broadcasts of batched changes; placements are broadcast at once
 	rebroadcastInterval = clock.Second           // between broadcasts of all own requests
 	instanceTimeout     = 3500 * clock.Millis(1) // after which another instance's requests are dropped if it has not broadcast them again
-	relistGrace         = 2 * clock.Second       // for which targets missing from the list stay in use after an outage of its source
 	maxPacketRequests   = 24                     // most requests in a datagram
 )
 
@@ -78,8 +77,8 @@
 	return nil
 }
 
-// ReplaceTargets replaces the list of targets. Targets missing from an incomplete list stay in use for relistGrace, since
-// those that are alive will be listed again soon. Targets that have left take no requests while the list is in doubt.
+// ReplaceTargets replaces the list of targets. Targets missing from it stay in use while it is incomplete, since those that are
+// alive will be listed again soon. Targets that have left take no requests while the list is in doubt.
 func (b *Board) ReplaceTargets(targets []Target, trust ListTrust) {
 	b.Loop.Post(func() {
 		now := clock.Now()
@@ -92,11 +91,11 @@
 		for id, s := range b.targets {
 			switch {
 			case listed[id] || s.delisted:
-			case !trust.Incomplete:
+			case now >= trust.IncompleteUntil:
 				b.noteLeft(now, s.Target)
 				b.delist(id, s)
-			case s.missingSince == 0:
-				s.missingSince = now
+			case s.missingUntil == 0:
+				s.missingUntil = trust.IncompleteUntil
 			}
 		}
 	})
@@ -118,7 +117,7 @@
 
 // update applies an entry of the list of targets.
 func (s *targetState) update(t Target, e model.Engine) {
-	s.Target, s.schedule.Engine, s.delisted, s.missingSince = t, e, false, 0
+	s.Target, s.schedule.Engine, s.delisted, s.missingUntil = t, e, false, 0
 }
 
 // target returns the state of a target, and creates it if the target is known only from other instances so far.
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -388,22 +388,25 @@
 	place(t, boards[0], long) // late, but before its caller gives up
 }
 
-// After an outage of the list's source, missing targets stay in use for relistGrace; without an outage they are dropped
-// at once.
+// After an outage of the list's source, missing targets stay in use while the list is incomplete; without an outage they are
+// dropped at once.
 func TestListAfterOutage(t *testing.T) {
 	is := is.New(t)
 	boards := newBoards(t, 1, 2)
 	b := boards[0]
-	b.ReplaceTargets(nil, ListTrust{Incomplete: true})
+	b.ReplaceTargets(nil, ListTrust{IncompleteUntil: clock.Now() + clock.Minute})
 	place(t, b, short).End(Succeeded)
 	b.Loop.Call(func() {
 		for _, s := range b.targets {
-			s.missingSince -= relistGrace + 1
+			s.missingUntil = clock.Now()
 		}
-		b.rebroadcastAndExpire()
 	})
 	_, err := b.Place(short)
 	is.True(err != nil)
+	b.Loop.Call(func() {
+		b.rebroadcastAndExpire()
+		is.Equal(len(b.targets), 0)
+	})
 	boards = newBoards(t, 1, 2)
 	boards[0].ReplaceTargets(nil, ListTrust{})
 	_, err = boards[0].Place(short)
--- a/internal/board/broadcast.go
+++ b/internal/board/broadcast.go
@@ -63,13 +63,13 @@
 	b.Broadcast(data)
 }
 
-// rebroadcastAndExpire broadcasts all own requests. It drops targets that have been missing from the list for relistGrace,
+// rebroadcastAndExpire broadcasts all own requests. It drops targets that have been missing from the list for too long,
 // and requests that their instance has not broadcast for instanceTimeout.
 func (b *Board) rebroadcastAndExpire() {
 	now := clock.Now()
 	b.broadcastOwn(now)
 	for id, s := range b.targets {
-		if s.missingSince > 0 && now-s.missingSince > relistGrace {
+		if s.missingUntil > 0 && now >= s.missingUntil && !s.delisted {
 			slog.Info("target still missing from the list, dropped", "target", id)
 			b.noteLeft(now, s.Target)
 			s.delisted = true
--- a/internal/board/leave.go
+++ b/internal/board/leave.go
@@ -11,8 +11,8 @@
 
 // ListTrust says how far a list of targets can be believed; the zero value, wholly.
 type ListTrust struct {
-	Incomplete bool         // targets that are in use may be missing, as after an outage of the list's source
-	DoubtUntil clock.Millis // until then, entries of targets that have left are not believed; zero for no doubt
+	IncompleteUntil clock.Millis // until then, targets that are in use may be missing, as after an outage of the list's source
+	DoubtUntil      clock.Millis // until then, entries of targets that have left are not believed
 }
 
 // departure says which target has left under an id.
--- a/internal/board/target.go
+++ b/internal/board/target.go
@@ -25,7 +25,7 @@
 	ejectedUntil     clock.Millis // until when requests are placed here only if there are no other targets
 	ejections        int          // consecutive ejections
 	delisted         bool         // not listed, or not listed any more
-	missingSince     clock.Millis // since when an incomplete list lacks it; zero if it is listed
+	missingUntil     clock.Millis // until when it is used although the list, which is incomplete, lacks it; zero if it is listed
 	closedUntil      clock.Millis // until when it takes no requests although it is listed
 	down             bool         // it did not answer the last probe
 	reportedSlowdown float64      // from the last answered probe, see ProbeResult.Slowdown
@@ -44,7 +44,7 @@
 
 // closed reports whether the target takes no new requests.
 func (s *targetState) closed(now clock.Millis) bool {
-	return s.delisted || s.Draining || now < s.closedUntil
+	return s.delisted || s.Draining || now < s.closedUntil || s.missingUntil > 0 && now >= s.missingUntil
 }
 
 // slowdown returns the slowdown that the target reported lately, or 1.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -47,7 +47,8 @@
 	peerAnswered atomic.Bool             // a peer has answered a fetch, with a version or without
 	lastSuccess  atomic.Int64            // when the source last answered, milliseconds since the epoch
 	firstReads   atomic.Int32            // attempts to read a first version that are in progress
-	lastFailure  atomic.Int64            // when the source last failed to answer, milliseconds since the epoch
+	failing      atomic.Bool             // the source has not answered since a call to it failed
+	recoveredAt  atomic.Int64            // when the source last answered after a failure, milliseconds since the epoch; zero if it never did
 	staleSince   atomic.Int64            // when a version above the active one was first announced; zero for none
 	highestKnown atomic.Pointer[Version] // highest version that a peer has announced; nil for none
 }
@@ -72,8 +73,8 @@
 // LastSuccess returns when the source last answered.
 func (f *Feed) LastSuccess() clock.Millis { return clock.Millis(f.lastSuccess.Load()) }
 
-// LastFailure returns when the source last failed to answer, or zero if it never did.
-func (f *Feed) LastFailure() clock.Millis { return clock.Millis(f.lastFailure.Load()) }
+// RecoveredAt returns when the source last answered after a failure, or zero if it never did.
+func (f *Feed) RecoveredAt() clock.Millis { return clock.Millis(f.recoveredAt.Load()) }
 
 // Hint tells the feed that a peer has a version, so that it is read at once.
 func (f *Feed) Hint(version Version, peer string) {
@@ -196,29 +197,31 @@
 		if f.WatchDuration != nil {
 			wait = f.WatchDuration()
 		}
+		began := clock.Now()
 		watchCtx, cancel := context.WithTimeout(ctx, 2*wait.Duration())
 		o, err := f.Watch(watchCtx, f.Current().Version, wait)
 		cancel()
 		if err != nil {
-			f.recordFailure("watch", err)
+			f.recordSourceFailure("watch", began, err)
 			_ = clock.Sleep(ctx, delay)
 			delay = min(2*delay, maxRetryDelay)
 			continue
 		}
 		delay = retryDelay
-		f.lastSuccess.Store(int64(clock.Now()))
+		f.recordSuccess()
 		f.applyIfNewer(o)
 		_ = clock.Sleep(ctx, coalesceDelay)
 	}
 }
 
 func (f *Feed) poll(ctx context.Context) {
+	began := clock.Now()
 	o, err := f.readIfChanged(ctx)
 	if err != nil {
-		f.recordFailure("read", err)
+		f.recordSourceFailure("read", began, err)
 		return
 	}
-	f.lastSuccess.Store(int64(clock.Now()))
+	f.recordSuccess()
 	f.applyIfNewer(o)
 }
 
@@ -290,10 +293,25 @@
 	return true
 }
 
-func (f *Feed) recordFailure(call string, err error) {
-	if call != "fetch" {
-		f.lastFailure.Store(int64(clock.Now()))
+// recordSuccess records that the source has answered.
+func (f *Feed) recordSuccess() {
+	now := int64(clock.Now())
+	f.lastSuccess.Store(now)
+	if f.failing.Swap(false) {
+		f.recoveredAt.Store(now)
+	}
+}
+
+// recordSourceFailure records that a call to the source has failed, unless the source has answered another one since.
+func (f *Feed) recordSourceFailure(call string, began clock.Millis, err error) {
+	if f.LastSuccess() <= began {
+		f.failing.Store(true)
 	}
+	f.recordFailure(call, err)
+}
+
+// recordFailure counts and logs a call that has failed.
+func (f *Feed) recordFailure(call string, err error) {
 	metrics.GetOrCreateCounter(`pier_feed_failed_total{feed="` + f.Name + `",call="` + call + `"}`).Inc()
 	slog.Debug("object not read", "feed", f.Name, "call", call, "error", err)
 }
