--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -28,10 +28,9 @@
 	InCell    func(target string) bool                  // whether a target belongs to this instance's cell; nil if all do
 	// HearsPlacements reports whether this instance hears of the placements of all others on a target; nil if it does.
 	HearsPlacements func(target string) bool
-	// Monitors reports whether this instance probes a target. Probe asks a target for its state and returns its slowdown,
-	// the actual duration as a multiple of what its model predicts. A nil Probe disables probing.
+	// Monitors reports whether this instance probes a target. Probe asks a target for its state. A nil Probe disables probing.
 	Monitors func(target string) bool
-	Probe    func(ctx context.Context, t Target) (float64, error)
+	Probe    func(ctx context.Context, t Target) (Report, error)
 
 	targets          map[string]*targetState      // by id
 	left             map[string]departure         // targets that have left lately, by id
@@ -56,6 +55,7 @@
 	Unreachable []string        `cbor:"7,keyasint,omitempty"` // ids of targets that could not be reached
 	Probes      []ProbeResult   `cbor:"8,keyasint,omitempty"`
 	Limits      []TargetLimit   `cbor:"9,keyasint,omitempty"` // changes of rate limits
+	Leaving     []TargetLeaving `cbor:"10,keyasint,omitempty"`
 }
 
 // Init prepares the state; it must be called before all other methods.
@@ -117,6 +117,12 @@
 
 // update applies an entry of the list of targets.
 func (s *targetState) update(t Target, e model.Engine) {
+	if t.Born != s.Born || t.Addr != s.Addr {
+		s.leaving, s.quietUntil = false, 0
+	}
+	if s.Draining && !t.Draining {
+		s.leaving = false
+	}
 	s.Target, s.schedule.Engine, s.delisted, s.missingUntil = t, e, false, 0
 }
 
@@ -144,22 +150,22 @@
 // place is Place on the control loop.
 func (b *Board) place(req Requirements) (*Placement, error) {
 	now := clock.Now()
-	targets, limited := b.eligibleTargets(now, req, b.inCell)
+	targets, short := b.eligibleTargets(now, req, b.inCell)
 	engine, isEngine := b.Engine(req.Service)
 	if isEngine && req.exceeds(engine, len(targets)) {
-		targets, limited = b.eligibleTargets(now, req, anyCell)
-	}
-	if len(targets) == 0 && limited {
-		return nil, &Error{Op: "place", Kind: Limited}
+		targets, short = b.eligibleTargets(now, req, anyCell)
 	}
 	if len(targets) == 0 {
-		return nil, &Error{Op: "place", Kind: NoTarget}
+		return nil, short.err()
 	}
 	var chosen choice
 	if isEngine && req.PromptTokens > 0 {
 		for _, s := range targets {
 			s.schedule.Engine = engine
 		}
+		if req.exceeds(engine, len(targets)) && short != (shortage{}) {
+			return nil, short.err()
+		}
 		if req.exceeds(engine, len(targets)) {
 			return nil, &Error{Op: "place", Kind: TooLarge}
 		}
@@ -193,18 +199,45 @@
 	}
 }
 
+// shortage says why targets were left out that may run a request later.
+type shortage struct {
+	limited bool         // some have reached their rate limits
+	quiet   clock.Millis // time until the first of those that want no requests for a while takes one; zero if there is none
+}
+
+// err returns the error for a request that no target may run now.
+func (s shortage) err() error {
+	switch {
+	case s.limited:
+		return &Error{Op: "place", Kind: Limited}
+	case s.quiet > 0:
+		return &Error{Op: "place", Kind: Quiet, Wait: s.quiet}
+	default:
+		return &Error{Op: "place", Kind: NoTarget}
+	}
+}
+
+// addQuiet records a target that wants no requests for so long.
+func (s *shortage) addQuiet(left clock.Millis) {
+	if s.quiet == 0 || left < s.quiet {
+		s.quiet = left
+	}
+}
+
 // eligibleTargets returns the targets that may run a request. If there are none in the cell, it falls back to those of other
-// cells, then to ejected targets, and then to the targets that the request excludes. limited reports whether targets were left
-// out because of their rate limits.
-func (b *Board) eligibleTargets(now clock.Millis, req Requirements, inCell func(target string) bool) (eligible []*targetState, limited bool) {
+// cells, then to ejected targets, and then to the targets that the request excludes.
+func (b *Board) eligibleTargets(now clock.Millis, req Requirements, inCell func(target string) bool) (eligible []*targetState, short shortage) {
 	var usable, elsewhere, ejected, excluded []*targetState
 	for _, s := range b.targets {
-		if s.Service != req.Service || s.closed(now) {
+		if s.Service != req.Service {
 			continue
 		}
 		switch {
+		case s.onlyQuiet(now):
+			short.addQuiet(s.quietUntil - now)
+		case s.closed(now):
 		case !b.mayUse(now, s):
-			limited = true
+			short.limited = true
 		case req.Exclude[s.ID]:
 			excluded = append(excluded, s)
 		case s.usable(now) && inCell(s.ID):
@@ -217,10 +250,10 @@
 	}
 	for _, targets := range [][]*targetState{usable, elsewhere, ejected} {
 		if len(targets) > 0 {
-			return targets, limited
+			return targets, short
 		}
 	}
-	return excluded, limited
+	return excluded, short
 }
 
 // anyCell is used in place of Board.inCell when targets of all cells are eligible.
--- a/internal/board/broadcast.go
+++ b/internal/board/broadcast.go
@@ -11,7 +11,7 @@
 
 // empty reports whether a datagram has no content.
 func (p packet) empty() bool {
-	return len(p.Placed)+len(p.FirstEvents)+len(p.Ended)+len(p.Failed)+len(p.Unreachable)+len(p.Probes)+len(p.Limits) == 0
+	return len(p.Placed)+len(p.FirstEvents)+len(p.Ended)+len(p.Failed)+len(p.Unreachable)+len(p.Probes)+len(p.Limits)+len(p.Leaving) == 0
 }
 
 // flush broadcasts the changes since the last flush.
@@ -134,6 +134,9 @@
 	for _, change := range p.Limits {
 		b.applyLimit(change)
 	}
+	for _, l := range p.Leaving {
+		b.closeLeaving(l.Target, l.Born)
+	}
 	for _, r := range p.Probes {
 		b.applyProbe(r)
 	}
--- a/internal/board/error.go
+++ b/internal/board/error.go
@@ -1,5 +1,7 @@
 package board
 
+import "github.com/corianderpier/corianderpier/internal/clock"
+
 // Kind classifies why a request was not placed.
 type Kind string
 
@@ -10,6 +12,7 @@
 	Full     Kind = "full"      // no engine has enough free memory at present
 	Costly   Kind = "costly"    // its predicted cost, by its own lateness and by delay to others, exceeds its value
 	Limited  Kind = "limited"   // all targets of the service have reached the rate limits that they name
+	Quiet    Kind = "quiet"     // all targets of the service want no requests for a while
 	Stopped  Kind = "stopped"   // the instance is shutting down
 )
 
@@ -17,6 +20,7 @@
 type Error struct {
 	Op   string
 	Kind Kind
+	Wait clock.Millis // until a target may take the request; zero if that is not known
 }
 
 func (e *Error) Error() string { return e.Op + ": " + string(e.Kind) }
--- a/internal/board/leave.go
+++ b/internal/board/leave.go
@@ -3,6 +3,8 @@
 import (
 	"log/slog"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/corianderpier/corianderpier/internal/clock"
 )
 
@@ -15,6 +17,55 @@
 	DoubtUntil      clock.Millis // until then, entries of targets that have left are not believed
 }
 
+// Notice is what a target says of itself in an answer.
+type Notice struct {
+	Leaving bool         // it takes no more requests
+	Quiet   clock.Millis // for so long it wants no requests from this instance; zero if it does not ask for that
+}
+
+// TargetLeaving says that a target takes no more requests, as instances broadcast it.
+type TargetLeaving struct {
+	Target string       `cbor:"1,keyasint"`
+	Born   clock.Millis `cbor:"2,keyasint,omitempty"` // see Target.Born
+}
+
+// RecordNotice records what the target says of itself in an answer, and broadcasts that it leaves. That it wants no requests
+// for a while concerns this instance alone.
+func (p *Placement) RecordNotice(n Notice) {
+	b := p.board
+	b.Loop.Post(func() { b.recordNotice(p.Target, n) })
+}
+
+// recordNotice is RecordNotice on the control loop. A notice of an earlier start of the target is ignored.
+func (b *Board) recordNotice(t Target, n Notice) {
+	s := b.targets[t.ID]
+	if s == nil || s.Born != t.Born {
+		return
+	}
+	if n.Quiet > 0 {
+		s.quietUntil = max(s.quietUntil, clock.Now()+n.Quiet)
+		slog.Info("target wants no requests", "target", t.ID, "for_ms", int64(n.Quiet))
+		metrics.GetOrCreateCounter(`pier_board_target_quiet_total`).Inc()
+	}
+	if n.Leaving && b.closeLeaving(t.ID, t.Born) {
+		b.pending.Leaving = append(b.pending.Leaving, TargetLeaving{Target: t.ID, Born: t.Born})
+		b.flush()
+	}
+}
+
+// closeLeaving closes a target that has said that it leaves, and reports whether that is news. It is open again when the list
+// says of it that it has started anew, or is ready after it was not.
+func (b *Board) closeLeaving(id string, born clock.Millis) bool {
+	s := b.targets[id]
+	if s == nil || s.Born != born || s.leaving {
+		return false
+	}
+	s.leaving = true
+	slog.Info("target leaves", "target", id, "requests", s.runningCount())
+	metrics.GetOrCreateCounter(`pier_board_target_leaving_total`).Inc()
+	return true
+}
+
 // departure says which target has left under an id.
 type departure struct {
 	born clock.Millis
@@ -30,12 +81,12 @@
 	case t.Draining:
 		b.noteLeft(now, t)
 	case left && old.born == t.Born && now < doubtUntil:
-		if s.closedUntil != doubtUntil {
+		if s.doubtedUntil != doubtUntil {
 			slog.Info("target that has left is listed again, not used yet", "target", t.ID, "left_ms_ago", int64(now-old.at), "doubt_ms", int64(doubtUntil-now))
 		}
-		s.closedUntil = doubtUntil
+		s.doubtedUntil = doubtUntil
 	default:
-		s.closedUntil = 0
+		s.doubtedUntil = 0
 		delete(b.left, t.ID)
 	}
 }
--- /dev/null
+++ b/internal/board/leave_test.go
@@ -0,0 +1,89 @@
+package board
+
+import (
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+)
+
+// plain is a request to a plain service.
+var plain = Requirements{Service: "desk", FirstEventSLO: 300}
+
+// Guards against: only the instance that has heard a target say that it leaves avoids it.
+func TestLeavingToldToOthers(t *testing.T) {
+	is := is.New(t)
+	boards := newBoards(t, 2, 2)
+	p := placeOn(t, boards[0], short, "engine-0")
+	p.RecordNotice(Notice{Leaving: true})
+	boards[0].Loop.Call(func() {})
+	waitDelivered(boards)
+	for _, b := range boards {
+		for range 6 {
+			p := place(t, b, short)
+			is.Equal(p.Target.ID, "engine-1")
+			p.End(Succeeded)
+		}
+	}
+	p.End(Succeeded) // the answer that is under way is not affected
+}
+
+// Guards against: a target that wants no requests from one instance gets none from the others either, or a part of a prompt or
+// a probe from the one.
+func TestQuietOfOneInstance(t *testing.T) {
+	is := is.New(t)
+	boards := newBoards(t, 2, 2)
+	p := placeOn(t, boards[0], short, "engine-0")
+	p.RecordNotice(Notice{Quiet: clock.Minute})
+	p.End(Failed)
+	boards[0].Loop.Call(func() {})
+	waitDelivered(boards)
+	for range 6 {
+		p := place(t, boards[0], long)
+		is.Equal(p.Target.ID, "engine-1")
+		is.Equal(len(p.Helpers), 0)
+		p.End(Succeeded)
+	}
+	var probed atomic.Bool
+	probe(boards[0], func(target string) (float64, error) {
+		if target == "engine-0" {
+			probed.Store(true)
+		}
+		return 1, nil
+	})
+	is.True(!probed.Load())
+	placeOn(t, boards[1], short, "engine-0")
+}
+
+// Guards against: a request waits, or is told nothing, when all targets want none for a while.
+func TestQuietOfAll(t *testing.T) {
+	is := is.New(t)
+	b := newBoards(t, 1, 0)[0]
+	for n, id := range []string{"plain-0", "plain-1", "plain-2"} {
+		p := placeOn(t, b, plain, id)
+		p.RecordNotice(Notice{Quiet: clock.Minute + clock.Millis(n)*clock.Second})
+		p.End(Failed)
+	}
+	_, err := b.Place(plain)
+	var e *Error
+	is.True(eris.As(err, &e))
+	is.Equal(e.Kind, Quiet)
+	is.True(e.Wait > 50*clock.Second && e.Wait <= clock.Minute) // that of the first
+}
+
+// Guards against: a notice of an earlier start of a target, which arrives late, closes the new one.
+func TestNoticeOfEarlierStart(t *testing.T) {
+	is := is.New(t)
+	b := newBoards(t, 1, 0)[0]
+	old := Target{ID: "one", Service: "desk", Slots: 6, Born: 1}
+	b.ReplaceTargets([]Target{old}, ListTrust{})
+	p := place(t, b, plain)
+	fresh := old
+	fresh.Born = 2
+	b.ReplaceTargets([]Target{fresh}, ListTrust{})
+	p.RecordNotice(Notice{Leaving: true, Quiet: clock.Minute})
+	is.Equal(place(t, b, plain).Target.ID, "one")
+}
--- a/internal/board/probe.go
+++ b/internal/board/probe.go
@@ -15,6 +15,12 @@
 	probeValidity = 3 * clock.Second      // for which the result of a probe remains valid
 )
 
+// Report is the state that a target reports when it is asked.
+type Report struct {
+	Slowdown float64 // actual duration as a multiple of what the model predicts, at least 1
+	Notice   Notice
+}
+
 // ProbeResult is the result of a probe, as instances broadcast it.
 type ProbeResult struct {
 	Target   string  `cbor:"1,keyasint"`
@@ -28,7 +34,7 @@
 	var targets []Target
 	b.Loop.Call(func() {
 		for id, s := range b.targets {
-			if !s.delisted && !s.Draining && s.schedule.Engine.PrefillRate > 0 && b.Monitors(id) && s.limit.probeDue(clock.Now()) {
+			if !s.closed(clock.Now()) && s.schedule.Engine.PrefillRate > 0 && b.Monitors(id) && s.limit.probeDue(clock.Now()) {
 				targets = append(targets, s.Target)
 			}
 		}
@@ -38,11 +44,13 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
 			defer cancel()
-			slowdown, err := b.Probe(ctx, t)
+			report, err := b.Probe(ctx, t)
 			if err != nil {
 				slog.Info("target probe failed", "target", t.ID, "error", err.Error())
+			} else if report.Notice != (Notice{}) {
+				b.Loop.Post(func() { b.recordNotice(t, report.Notice) })
 			}
-			answers <- ProbeResult{Target: t.ID, Slowdown: slowdown, Down: err != nil}
+			answers <- ProbeResult{Target: t.ID, Slowdown: report.Slowdown, Down: err != nil}
 		}()
 	}
 	var results []ProbeResult
--- a/internal/board/probe_test.go
+++ b/internal/board/probe_test.go
@@ -11,7 +11,10 @@
 // probe has a board probe all engines once and broadcast the results; probeTarget returns the slowdown of a target.
 func probe(b *Board, probeTarget func(target string) (float64, error)) {
 	b.Monitors = func(string) bool { return true }
-	b.Probe = func(_ context.Context, t Target) (float64, error) { return probeTarget(t.ID) }
+	b.Probe = func(_ context.Context, t Target) (Report, error) {
+		slowdown, err := probeTarget(t.ID)
+		return Report{Slowdown: slowdown}, err
+	}
 	b.probeTargets(context.Background())
 	b.Loop.Call(b.flush)
 }
--- a/internal/board/target.go
+++ b/internal/board/target.go
@@ -26,7 +26,9 @@
 	ejections        int          // consecutive ejections
 	delisted         bool         // not listed, or not listed any more
 	missingUntil     clock.Millis // until when it is used although the list, which is incomplete, lacks it; zero if it is listed
-	closedUntil      clock.Millis // until when it takes no requests although it is listed
+	doubtedUntil     clock.Millis // until when its entry in the list is not believed, see noteListed
+	leaving          bool         // it has said that it takes no more requests, see closeLeaving
+	quietUntil       clock.Millis // until when it wants no requests from this instance
 	down             bool         // it did not answer the last probe
 	reportedSlowdown float64      // from the last answered probe, see ProbeResult.Slowdown
 	reportedAt       clock.Millis // when that probe was answered
@@ -43,10 +45,17 @@
 }
 
 // closed reports whether the target takes no new requests.
-func (s *targetState) closed(now clock.Millis) bool {
-	return s.delisted || s.Draining || now < s.closedUntil || s.missingUntil > 0 && now >= s.missingUntil
+func (s *targetState) closed(now clock.Millis) bool { return s.left(now) || now < s.quietUntil }
+
+// left reports whether the target has left, or is leaving, as far as is known.
+func (s *targetState) left(now clock.Millis) bool {
+	missing := s.missingUntil > 0 && now >= s.missingUntil
+	return s.delisted || s.Draining || s.leaving || missing || now < s.doubtedUntil
 }
 
+// onlyQuiet reports whether the target takes no new requests only since it wants none for a while.
+func (s *targetState) onlyQuiet(now clock.Millis) bool { return !s.left(now) && now < s.quietUntil }
+
 // slowdown returns the slowdown that the target reported lately, or 1.
 func (s *targetState) slowdown() float64 {
 	if clock.Now()-s.reportedAt > probeValidity {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -47,6 +47,9 @@
 	if s.rateLimit = answer.RateLimit; s.rateLimit != nil || !answer.NotRun {
 		placement.RecordRateLimit(s.rateLimit)
 	}
+	if answer.Notice != (board.Notice{}) {
+		placement.RecordNotice(answer.Notice)
+	}
 	switch {
 	case answer.NotRun:
 		if helper := placement.FindHelper(answer.FaultyTarget); helper != "" {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -123,7 +123,7 @@
 		}
 		p, err := s.relay.Place(s.placementRequirements(s.exclude))
 		if err != nil {
-			return s.refuse(refusalReason(err))
+			return s.refuseUnplaced(err)
 		}
 		s.target, s.predictedFirstEvent, s.helpers = p.Target.ID, p.PredictedFirstEvent, p.HelperIDs()
 		outcome, tryNext := s.tryTarget(ctx, p)
@@ -165,6 +165,17 @@
 	return s.refuse(Expired)
 }
 
+// refuseUnplaced refuses a request for which Place has returned an error. If that says when a target may take the request, the
+// caller may try again then.
+func (s *requestState) refuseUnplaced(err error) string {
+	reason := refusalReason(err)
+	var e *board.Error
+	if eris.As(err, &e) && e.Wait > 0 {
+		return s.refuseFor(reason, e.Wait)
+	}
+	return s.refuse(reason)
+}
+
 // refuse tells the caller why there is no answer, and when to try again.
 func (s *requestState) refuse(reason Reason) string {
 	return s.refuseFor(reason, s.relay.RetryAfter(s.Request, reason))
@@ -205,6 +216,8 @@
 		return Costly
 	case board.Limited:
 		return Limited
+	case board.Quiet:
+		return Quiet
 	default:
 		return Full
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -65,7 +65,8 @@
 	Body         io.ReadCloser
 	RateLimit    *float64 // requests per second that the target takes from all instances together; nil if it names no limit
 	NotRun       bool     // the target states that it has not run and will not run the request
-	FaultyTarget string   // id of another target that caused the failure, if the target names one
+	Notice       board.Notice
+	FaultyTarget string // id of another target that caused the failure, if the target names one
 }
 
 // Reason says why the caller gets no answer from a target.
@@ -81,6 +82,7 @@
 	Costly       Reason = "costly"        // the engines are busy, and the prompt would make other requests miss their objectives
 	Full         Reason = "full"          // no engine has enough free memory, or the request cannot be placed for another reason
 	Limited      Reason = "limited"       // all targets have reached the rate limits that they name
+	Quiet        Reason = "quiet"         // all targets want no requests for a while
 	Refused      Reason = "refused"       // none of the targets that were tried ran the request
 	Expired      Reason = "expired"       // the deadline passed, or was too near, before the request could have run
 	TimedOut     Reason = "timed_out"     // the deadline passed, or was too near for a retry, after a target may have run the request
