feed, platform: Tell peers when the store was back after an outage

What callers saw: nothing yet; found by asking where else a gap in the list is believed. When entries expire in an outage, the instances that do not watch the store themselves learn of the list from others, and gave all missing workers up at once: 503 for up to 2 s, until the entries were written again. Only an instance whose own calls had failed knew of the outage.

Change: an object that is read from a peer carries how long ago the source answered again.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -48,7 +48,7 @@
 	lastSuccess  atomic.Int64            // when the source last answered, milliseconds since the epoch
 	firstReads   atomic.Int32            // attempts to read a first version that are in progress
 	failing      atomic.Bool             // the source has not answered since a call to it failed
-	recoveredAt  atomic.Int64            // when the source last answered after a failure, milliseconds since the epoch; zero if it never did
+	recoveredAt  atomic.Int64            // see RecoveredAt, milliseconds since the epoch
 	staleSince   atomic.Int64            // when a version above the active one was first announced; zero for none
 	highestKnown atomic.Pointer[Version] // highest version that a peer has announced; nil for none
 }
@@ -73,9 +73,19 @@
 // LastSuccess returns when the source last answered.
 func (f *Feed) LastSuccess() clock.Millis { return clock.Millis(f.lastSuccess.Load()) }
 
-// RecoveredAt returns when the source last answered after a failure, or zero if it never did.
+// RecoveredAt returns when the source last answered after a failure, as this instance or a peer has seen, or zero if it never
+// did.
 func (f *Feed) RecoveredAt() clock.Millis { return clock.Millis(f.recoveredAt.Load()) }
 
+// Shared returns the active object as peers get it.
+func (f *Feed) Shared() Object {
+	o := f.Current()
+	if at := f.RecoveredAt(); at > 0 {
+		o.RecoveredAgo = max(clock.Now()-at, 1)
+	}
+	return o
+}
+
 // Hint tells the feed that a peer has a version, so that it is read at once.
 func (f *Feed) Hint(version Version, peer string) {
 	if !version.After(f.Current().Version) {
@@ -260,6 +270,10 @@
 		return
 	}
 	f.peerAnswered.Store(true)
+	if o.RecoveredAgo > 0 {
+		f.raiseRecoveredAt(int64(clock.Now() - o.RecoveredAgo))
+	}
+	o.RecoveredAgo = 0
 	f.applyIfNewer(o)
 }
 
@@ -298,7 +312,13 @@
 	now := int64(clock.Now())
 	f.lastSuccess.Store(now)
 	if f.failing.Swap(false) {
-		f.recoveredAt.Store(now)
+		f.raiseRecoveredAt(now)
+	}
+}
+
+// raiseRecoveredAt records a time at which the source answered again.
+func (f *Feed) raiseRecoveredAt(at int64) {
+	for old := f.recoveredAt.Load(); at > old && !f.recoveredAt.CompareAndSwap(old, at); old = f.recoveredAt.Load() {
 	}
 }
 
--- a/internal/feed/version.go
+++ b/internal/feed/version.go
@@ -1,6 +1,10 @@
 package feed
 
-import "strconv"
+import (
+	"strconv"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+)
 
 // Version orders the states of an object. Numbers are comparable within one era only: a source that comes back from an older
 // copy of its data counts on from there, in a higher era. The zero value comes before all others.
@@ -30,6 +34,9 @@
 type Object struct {
 	Version Version `cbor:"1,keyasint"`
 	Value   []byte  `cbor:"2,keyasint"` // empty if only the version is known
+	// RecoveredAgo is how long ago the source answered again after an outage, as the peer that sends the object knows; zero for
+	// never.
+	RecoveredAgo clock.Millis `cbor:"3,keyasint,omitempty"`
 }
 
 // IsZero reports whether there is no such state yet.
