fake: Serve raw answers in one place

Three tests had a TCP server of their own that reads requests and answers with bytes; fake.Raw is the one for all. Their assertions are as before.

--- a/internal/target/foreign_test.go
+++ b/internal/target/foreign_test.go
@@ -1,10 +1,8 @@
 package target
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -15,40 +13,18 @@
 
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/engine"
+	"github.com/corianderpier/corianderpier/internal/fake"
 )
 
-// startRawTarget starts a target that passes the connection of each request to answer, and keeps it open until answer reports
-// false.
+// startRawTarget starts a target whose answers are bytes, see fake.Raw, and returns its address.
 func startRawTarget(t *testing.T, answer func(conn net.Conn) bool) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	raw := &fake.Raw{Answer: func(conn net.Conn, _ *http.Request) bool { return answer(conn) }}
+	if err := raw.Listen(); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				requests := bufio.NewReader(conn)
-				for {
-					r, err := http.ReadRequest(requests)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					if !answer(conn) {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	t.Cleanup(func() { _ = raw.Close() })
+	return raw.Addr()
 }
 
 // newTestClient returns a client and a context for a few calls.
