--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -33,7 +33,7 @@
 	Probe    func(ctx context.Context, t Target) (Report, error)
 
 	targets          map[string]*targetState      // by id
-	left             map[string]departure         // targets that have left lately, by id
+	departed         map[string]departure         // targets that have left lately, by id
 	requests         map[requestKey]*knownRequest // of all instances
 	ownRequests      map[uint64]*ActiveRequest    // by number, as placedAt and placements
 	placedAt         map[uint64]clock.Millis
@@ -61,7 +61,7 @@
 // Init prepares the state; it must be called before all other methods.
 func (b *Board) Init() {
 	b.targets = make(map[string]*targetState)
-	b.left = make(map[string]departure)
+	b.departed = make(map[string]departure)
 	b.requests = make(map[requestKey]*knownRequest)
 	b.ownRequests = make(map[uint64]*ActiveRequest)
 	b.placedAt = make(map[uint64]clock.Millis)
@@ -92,7 +92,7 @@
 			switch {
 			case listed[id] || s.delisted:
 			case now >= trust.IncompleteUntil:
-				b.noteLeft(now, s.Target)
+				b.noteDeparted(now, s.Target)
 				b.delist(id, s)
 			case s.missingUntil == 0:
 				s.missingUntil = trust.IncompleteUntil
--- a/internal/board/broadcast.go
+++ b/internal/board/broadcast.go
@@ -71,14 +71,14 @@
 	for id, s := range b.targets {
 		if s.missingUntil > 0 && now >= s.missingUntil && !s.delisted {
 			slog.Info("target still missing from the list, dropped", "target", id)
-			b.noteLeft(now, s.Target)
+			b.noteDeparted(now, s.Target)
 			s.delisted = true
 		}
 		if s.delisted && len(s.assignments) == 0 {
 			delete(b.targets, id)
 		}
 	}
-	b.forgetLeft(now)
+	b.forgetDeparted(now)
 	for k, r := range b.requests {
 		if k.owner != b.Self && now-r.lastHeard >= instanceTimeout {
 			b.removeRequest(k)
--- a/internal/board/leave.go
+++ b/internal/board/leave.go
@@ -8,8 +8,9 @@
 	"github.com/corianderpier/corianderpier/internal/clock"
 )
 
-// leftMemory is for how long a target that has left is remembered; a copy from which the source of the list comes back is younger.
-const leftMemory = clock.Minute
+// departureMemory is for how long a target that has left is remembered. The copies from which the source of the list comes back
+// are younger.
+const departureMemory = clock.Minute
 
 // ListTrust says how far a list of targets can be believed; the zero value, wholly.
 type ListTrust struct {
@@ -76,29 +77,29 @@
 // until the list is no longer in doubt; without doubt the entry is believed.
 func (b *Board) noteListed(now clock.Millis, t Target, doubtUntil clock.Millis) {
 	s := b.targets[t.ID]
-	old, left := b.left[t.ID]
+	old, departed := b.departed[t.ID]
 	switch {
 	case t.Draining:
-		b.noteLeft(now, t)
-	case left && old.born == t.Born && now < doubtUntil:
+		b.noteDeparted(now, t)
+	case departed && old.born == t.Born && now < doubtUntil:
 		if s.doubtedUntil != doubtUntil {
 			slog.Info("target that has left is listed again, not used yet", "target", t.ID, "left_ms_ago", int64(now-old.at), "doubt_ms", int64(doubtUntil-now))
 		}
 		s.doubtedUntil = doubtUntil
 	default:
 		s.doubtedUntil = 0
-		delete(b.left, t.ID)
+		delete(b.departed, t.ID)
 	}
 }
 
-// noteLeft records that a target takes no more requests.
-func (b *Board) noteLeft(now clock.Millis, t Target) { b.left[t.ID] = departure{born: t.Born, at: now} }
+// noteDeparted records that a target takes no more requests.
+func (b *Board) noteDeparted(now clock.Millis, t Target) { b.departed[t.ID] = departure{born: t.Born, at: now} }
 
-// forgetLeft drops targets that have left leftMemory ago.
-func (b *Board) forgetLeft(now clock.Millis) {
-	for id, d := range b.left {
-		if now-d.at > leftMemory {
-			delete(b.left, id)
+// forgetDeparted drops targets that have left departureMemory ago.
+func (b *Board) forgetDeparted(now clock.Millis) {
+	for id, d := range b.departed {
+		if now-d.at > departureMemory {
+			delete(b.departed, id)
 		}
 	}
 }
