--- a/internal/board/leave.go
+++ b/internal/board/leave.go
@@ -93,7 +93,9 @@
 }
 
 // noteDeparted records that a target takes no more requests.
-func (b *Board) noteDeparted(now clock.Millis, t Target) { b.departed[t.ID] = departure{born: t.Born, at: now} }
+func (b *Board) noteDeparted(now clock.Millis, t Target) {
+	b.departed[t.ID] = departure{born: t.Born, at: now}
+}
 
 // forgetDeparted drops targets that have left departureMemory ago.
 func (b *Board) forgetDeparted(now clock.Millis) {
