flow: Let prompts wait for memory in the order of the engines

Cause: a prompt that is divided holds reservations on some engines while it waits for memory on the one that runs it. Homes grant memory so that it never has to wait long; while the home of a cell moves, as in a rolling replacement, two of them can grant the same memory. Two prompts may then each hold what the other one waits for. The engine sends comments all the while, so that nothing counts as stalled, until the first deadline frees the memory for the other prompt.

Ruled out by reading: memory leaked by an instance that stopped would be reclaimed within seconds; the engine prefills admitted prompts in the order of priority, and a burst of short ones does not last for 60 s.

Change: of the engines of a grant, the one with the highest ID runs the prompt. Who waits on an engine holds memory only on engines below it, so that no circle can form, whatever the homes have granted.

--- a/internal/flow/prompt.go
+++ b/internal/flow/prompt.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -252,9 +254,17 @@
 	return member.Member{}, route.Grant{}, &route.Error{Op: "reserve", Kind: wire.ReasonDeadline}
 }
 
-// acquireGranted takes a slot on the first engine of a grant and reserves memory on the others, all or nothing.
+// inWaitOrder returns allocations with the one on the engine with the highest ID first. A prompt waits for memory on the engine
+// that runs it while it holds memory on the others. As it only waits on an engine that ranks above these, prompts cannot wait
+// for each other in a circle, also if two homes have granted the same memory.
+func inWaitOrder(allocations []route.Allocation) []route.Allocation {
+	return slices.SortedFunc(slices.Values(allocations), func(a, b route.Allocation) int { return strings.Compare(b.Target, a.Target) })
+}
+
+// acquireGranted takes a slot on one engine of a grant, which runs the prompt, and reserves memory on the others, all or nothing.
 func (p *Prompts) acquireGranted(ctx context.Context, id string, grant route.Grant, priority int) (placement, bool) {
-	first := grant.Allocations[0]
+	allocations := inWaitOrder(grant.Allocations)
+	first := allocations[0]
 	slot, ok := p.Table.AcquireOn(first.Target, route.Request{PromptTokens: first.Tokens, Priority: priority})
 	if !ok {
 		return placement{}, false
@@ -267,7 +277,7 @@
 			p.ReleaseHolding(addr, reservationID)
 		}
 	}
-	for _, allocation := range grant.Allocations[1:] {
+	for _, allocation := range allocations[1:] {
 		reservedOn = append(reservedOn, allocation.Addr)
 		reservation := engine.Reservation{ID: reservationID, Owner: p.Owner, Tokens: allocation.Tokens}
 		if err := p.TargetClient.Reserve(ctx, allocation.Addr, reservation); err != nil {
--- a/internal/route/allocate.go
+++ b/internal/route/allocate.go
@@ -63,7 +63,7 @@
 	for _, ts := range engines {
 		share := min(left, free[ts.ID])
 		if share <= r.MaxOutputTokens {
-			break // the first engine holds the output as well
+			break // the engine that runs the prompt holds the output as well
 		}
 		allocations = append(allocations, Allocation{Target: ts.ID, Addr: ts.Addr, Tokens: share})
 		left -= share
--- a/internal/route/ledger.go
+++ b/internal/route/ledger.go
@@ -48,7 +48,7 @@
 	Tokens int    `cbor:"3,keyasint"`
 }
 
-// Grant is the answer to a MemoryRequest: memory on one or more engines, of which the first runs the prompt, or a reason.
+// Grant is the answer to a MemoryRequest: memory on one or more engines, one of which runs the prompt, or a reason.
 type Grant struct {
 	ID          string       `cbor:"1,keyasint"`
 	Allocations []Allocation `cbor:"2,keyasint"`
