board, platform: Heed what engines say in answers to orders

What callers saw: a worker that leaves says so in all its answers, and may ask for quiet in any 503. Answers to orders (leases on memory) were not read, so that an instance whose only answers from an engine were these went on sending requests to it (DRAIN, BUDGET).

A lease names the start of its engine, so that a late answer does not close the next one.

--- a/internal/board/leave.go
+++ b/internal/board/leave.go
@@ -32,12 +32,13 @@
 
 // RecordNotice records what the target says of itself in an answer, and broadcasts that it leaves. That it wants no requests
 // for a while concerns this instance alone.
-func (p *Placement) RecordNotice(n Notice) {
-	b := p.board
-	b.Loop.Post(func() { b.recordNotice(p.Target, n) })
-}
+func (p *Placement) RecordNotice(n Notice) { p.board.RecordNotice(p.Target, n) }
+
+// RecordNotice does the same for an answer to anything but a placed request. A notice of an earlier start of the target is
+// ignored.
+func (b *Board) RecordNotice(t Target, n Notice) { b.Loop.Post(func() { b.recordNotice(t, n) }) }
 
-// recordNotice is RecordNotice on the control loop. A notice of an earlier start of the target is ignored.
+// recordNotice is RecordNotice on the control loop.
 func (b *Board) recordNotice(t Target, n Notice) {
 	s := b.targets[t.ID]
 	if s == nil || s.Born != t.Born {
--- a/internal/board/probe.go
+++ b/internal/board/probe.go
@@ -48,7 +48,7 @@
 			if err != nil {
 				slog.Info("target probe failed", "target", t.ID, "error", err.Error())
 			} else if report.Notice != (Notice{}) {
-				b.Loop.Post(func() { b.recordNotice(t, report.Notice) })
+				b.RecordNotice(t, report.Notice)
 			}
 			answers <- ProbeResult{Target: t.ID, Slowdown: report.Slowdown, Down: err != nil}
 		}()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -134,7 +134,7 @@
 	}
 	leases := make([]ticket.Lease, len(p.Helpers))
 	for i, helper := range p.Helpers {
-		leases[i] = ticket.Lease{ID: p.LeaseID(i), Target: helper.ID, Addr: helper.Addr, Tokens: p.HelperMemory}
+		leases[i] = ticket.Lease{ID: p.LeaseID(i), Target: helper.ID, Addr: helper.Addr, Born: helper.Born, Tokens: p.HelperMemory}
 	}
 	leaseSet, err := s.relay.Tickets.Acquire(ctx, leases)
 	if err != nil {
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -25,7 +25,8 @@
 	ID     string // chosen by the caller, unique at the engine
 	Target string // id of the engine
 	Addr   string
-	Tokens int // size of the leased memory
+	Born   clock.Millis // when the engine started, as far as is known
+	Tokens int          // size of the leased memory
 }
 
 // Manager acquires, renews and releases leases.
