--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -492,3 +492,19 @@
 		})
 	}
 }
+
+// Guards against: two instances that do not hear of each other split prompts over the same engines, and each prompt holds the
+// memory that the other one waits for, until their deadlines.
+func TestSplitPromptsWaitInOneOrder(t *testing.T) {
+	is := is.New(t)
+	req := Requirements{Service: "models", PromptTokens: 900_000, MaxOutputTokens: 600, FirstEventSLO: 3000, EventGapSLO: 1000}
+	for range 20 {
+		for _, b := range newBoards(t, 1, 16) {
+			p := place(t, b, req)
+			is.True(p.HelperMemory > 0)
+			for _, h := range p.Helpers {
+				is.True(h.ID < p.Target.ID)
+			}
+		}
+	}
+}
