board: Tell new instances which entries of a copy are not believed

What callers saw: a worker that had left got requests from an instance that started while the store showed an older copy, which still lists the worker.

Cause: who has left is remembered by those that saw it. An instance that starts from nothing has the copy's list and no reason to doubt it.

Ruled out: asking the others for what they remember at the start, as an instance that joins late or loses the answer would still not know.

Change: an instance that does not believe an entry says so with its own requests, once a second, until the store would have dropped the entry. The others close the target for the time that is left, unless they know a later start of it. Nothing is sent while no entry is in doubt. A list without doubt no longer ends a doubt that another instance has raised; that it ends by itself, or with a new start of the target, is as before.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -56,6 +56,7 @@
 	Probes      []ProbeResult   `cbor:"8,keyasint,omitempty"`
 	Limits      []TargetLimit   `cbor:"9,keyasint,omitempty"` // changes of rate limits
 	Leaving     []TargetLeaving `cbor:"10,keyasint,omitempty"`
+	Doubted     []TargetDoubt   `cbor:"11,keyasint,omitempty"`
 }
 
 // Init prepares the state; it must be called before all other methods.
@@ -118,7 +119,7 @@
 // update applies an entry of the list of targets.
 func (s *targetState) update(t Target, e model.Engine) {
 	if t.Born != s.Born || t.Addr != s.Addr {
-		s.leaving, s.quietUntil = false, 0
+		s.leaving, s.quietUntil, s.doubtedUntil = false, 0, 0
 	}
 	if s.Draining && !t.Draining {
 		s.leaving = false
--- a/internal/board/broadcast.go
+++ b/internal/board/broadcast.go
@@ -11,7 +11,7 @@
 
 // empty reports whether a datagram has no content.
 func (p packet) empty() bool {
-	return len(p.Placed)+len(p.FirstEvents)+len(p.Ended)+len(p.Failed)+len(p.Unreachable)+len(p.Probes)+len(p.Limits)+len(p.Leaving) == 0
+	return len(p.Placed)+len(p.FirstEvents)+len(p.Ended)+len(p.Failed)+len(p.Unreachable)+len(p.Probes)+len(p.Limits)+len(p.Leaving)+len(p.Doubted) == 0
 }
 
 // flush broadcasts the changes since the last flush.
@@ -63,7 +63,7 @@
 	b.Broadcast(data)
 }
 
-// rebroadcastAndExpire broadcasts all own requests. It drops targets that have been missing from the list for too long,
+// rebroadcastAndExpire broadcasts all own requests, and which entries of the list are not believed. It drops targets that have been missing from the list for too long,
 // and requests that their instance has not broadcast for instanceTimeout.
 func (b *Board) rebroadcastAndExpire() {
 	now := clock.Now()
@@ -86,9 +86,9 @@
 	}
 }
 
-// broadcastOwn broadcasts all own requests, for instances that have missed earlier datagrams.
+// broadcastOwn broadcasts all own requests and the targets in doubt, for instances that have missed earlier datagrams.
 func (b *Board) broadcastOwn(now clock.Millis) {
-	var p packet
+	p := packet{Doubted: b.doubts(now)}
 	for number, r := range b.ownRequests {
 		entry := *r
 		entry.Age = now - b.placedAt[number]
@@ -137,6 +137,9 @@
 	for _, l := range p.Leaving {
 		b.closeLeaving(l.Target, l.Born)
 	}
+	for _, d := range p.Doubted {
+		b.applyDoubt(now, d)
+	}
 	for _, r := range p.Probes {
 		b.applyProbe(r)
 	}
--- a/internal/board/leave.go
+++ b/internal/board/leave.go
@@ -68,6 +68,37 @@
 	return true
 }
 
+// TargetDoubt says that the list names a target which has left, as instances broadcast it.
+type TargetDoubt struct {
+	Target string       `cbor:"1,keyasint"`
+	Born   clock.Millis `cbor:"2,keyasint,omitempty"` // see Target.Born
+	Left   clock.Millis `cbor:"3,keyasint"`           // time until the entry is believed again
+}
+
+// maxDoubt is the longest time for which another instance can keep a target closed by a TargetDoubt.
+const maxDoubt = 15 * clock.Second
+
+// doubts returns the targets whose entries are not believed now, for instances that have started since these left.
+func (b *Board) doubts(now clock.Millis) []TargetDoubt {
+	var doubted []TargetDoubt
+	for id, s := range b.targets {
+		if now < s.doubtedUntil {
+			doubted = append(doubted, TargetDoubt{Target: id, Born: s.Born, Left: s.doubtedUntil - now})
+		}
+	}
+	return doubted
+}
+
+// applyDoubt closes a target that another instance knows to have left, until its entry is believed again.
+func (b *Board) applyDoubt(now clock.Millis, d TargetDoubt) {
+	s := b.targets[d.Target]
+	if s == nil || s.Born != d.Born || s.closed(now) {
+		return
+	}
+	s.doubtedUntil = now + min(d.Left, maxDoubt)
+	slog.Info("target has left as others know, not used yet", "target", d.Target, "doubt_ms", int64(s.doubtedUntil-now))
+}
+
 // departure says which target has left under an id.
 type departure struct {
 	born clock.Millis
@@ -88,7 +119,6 @@
 		}
 		s.doubtedUntil = doubtUntil
 	default:
-		s.doubtedUntil = 0
 		delete(b.departed, t.ID)
 	}
 }
--- a/internal/board/leave_test.go
+++ b/internal/board/leave_test.go
@@ -87,3 +87,27 @@
 	p.RecordNotice(Notice{Leaving: true, Quiet: clock.Minute})
 	is.Equal(place(t, b, plain).Target.ID, "one")
 }
+
+// Guards against: an instance that has started since a target left believes an older list which names it, or does not use the
+// next start of the target.
+func TestDoubtToldToOthers(t *testing.T) {
+	listed := Target{ID: "one", Service: "desk", Slots: 6, Born: 1}
+	for name, born := range map[string]clock.Millis{"same start": 1, "started anew": 2} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			boards := newBoards(t, 2, 0)
+			knows, fresh := boards[0], boards[1]
+			knows.ReplaceTargets([]Target{listed}, ListTrust{})
+			knows.ReplaceTargets(nil, ListTrust{})
+			knows.ReplaceTargets([]Target{listed}, ListTrust{DoubtUntil: clock.Now() + clock.Minute})
+			known := listed
+			known.Born = born
+			fresh.ReplaceTargets([]Target{known}, ListTrust{})
+			knows.Loop.Call(knows.rebroadcastAndExpire)
+			waitDelivered(boards)
+			fresh.ReplaceTargets([]Target{known}, ListTrust{}) // a further version of the list
+			_, err := fresh.Place(plain)
+			is.Equal(err == nil, born != listed.Born)
+		})
+	}
+}
