--- a/internal/board/leave_test.go
+++ b/internal/board/leave_test.go
@@ -111,3 +111,37 @@
 		})
 	}
 }
+
+// Guards against: a target that has left is used again as an outdated list names it, or one that started anew under its id is
+// not used.
+func TestLeftTargetListedAgain(t *testing.T) {
+	ready := Target{ID: "one", Service: "desk", Slots: 6, Born: 1}
+	draining := ready
+	draining.Draining = true
+	reborn := ready
+	reborn.Born = 2
+	doubt := ListTrust{DoubtUntil: clock.Now() + clock.Minute}
+	for _, c := range []struct {
+		name   string
+		left   []Target // the list that says that the target leaves
+		listed Target
+		trust  ListTrust
+		placed bool
+	}{
+		{"removed, list in doubt", nil, ready, doubt, false},
+		{"draining, list in doubt", []Target{draining}, ready, doubt, false},
+		{"draining, list not in doubt", []Target{draining}, ready, ListTrust{}, true},
+		{"started anew", nil, reborn, doubt, true},
+		{"doubt over", nil, ready, ListTrust{DoubtUntil: clock.Now()}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBoards(t, 1, 0)[0]
+			b.ReplaceTargets([]Target{ready}, ListTrust{})
+			b.ReplaceTargets(c.left, ListTrust{})
+			b.ReplaceTargets([]Target{c.listed}, c.trust)
+			_, err := b.Place(Requirements{ID: "r", Service: "desk", FirstEventSLO: 300, Deadline: clock.Now() + clock.Second})
+			is.Equal(err == nil, c.placed)
+		})
+	}
+}
