board: Revert the order in which split prompts wait for memory

Cause: the change made the engine with the highest id the primary, whatever waits there.

Conclusion: a failed try.

--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -49,8 +49,7 @@
 // chooseEngines returns the choice of one engine, or of several for a long prompt, by which the request and those that it
 // delays lose the least value. If no choice is possible, the result has no primary.
 //
-// If no engine has the memory for the whole prompt, the prompt is split, and each engine keeps its part in memory. Engines that
-// name a rate limit, which help nobody, have no part in that.
+// If no engine has the memory for the whole prompt, the prompt is split, and each engine keeps its part in memory.
 func chooseEngines(now clock.Millis, req Requirements, targets []*targetState, random randomness) choice {
 	for _, s := range targets {
 		s.advance(now)
@@ -62,10 +61,6 @@
 	fitsOne := slices.ContainsFunc(targets, func(s *targetState) bool { return s.hasMemory(req.PromptTokens + req.MaxOutputTokens) })
 	maxUsed := min(maxParts, max(1, int(maxPartsShare*float64(len(targets)))))
 	if !fitsOne {
-		targets = slices.DeleteFunc(slices.Clone(targets), func(s *targetState) bool { return s.limit.named })
-		if len(targets) == 0 {
-			return choice{}
-		}
 		maxUsed = min(maxParts, max(maxUsed, req.partsToFit(targets)), len(targets))
 	}
 	for parts := 1; parts <= maxUsed; parts++ {
@@ -123,8 +118,8 @@
 func chooseParts(now clock.Millis, req Requirements, targets []*targetState, parts int, split bool, random randomness) choice {
 	memory, partMemory := req.PromptTokens+req.MaxOutputTokens, 0
 	if split {
-		memory = req.PromptTokens/parts + req.MaxOutputTokens
-		partMemory = memory // any of them may become the primary
+		partMemory = req.PromptTokens / parts
+		memory = partMemory + req.MaxOutputTokens
 	}
 	first := choosePrimary(now, req, targets, parts, memory, random)
 	if first == nil || split && parts < 2 {
@@ -137,31 +132,11 @@
 	if len(chosen) < parts {
 		return choice{}
 	}
-	if split {
-		chosen = inWaitOrder(now, req, chosen)
-	}
-	result := chosen[0].combine(req, chosen)
+	result := first.combine(req, chosen)
 	result.splitMemory = split
 	return result
 }
 
-// inWaitOrder makes the engine with the highest ID the primary of a split prompt. The prompt waits for memory on its primary
-// while it holds leases on the others. As it only waits on an engine that ranks above these, prompts cannot wait for each other
-// in a circle, also if instances that do not hear of each other have placed them.
-func inWaitOrder(now clock.Millis, req Requirements, chosen []candidate) []candidate {
-	highest := 0
-	for i, c := range chosen {
-		if c.ID > chosen[highest].ID {
-			highest = i
-		}
-	}
-	if highest > 0 {
-		first := chosen[0].evaluate(now, req, len(chosen), true)
-		chosen[0], chosen[highest] = chosen[highest].evaluate(now, req, len(chosen), false), first
-	}
-	return chosen
-}
-
 // choosePrimary returns the cheapest engine with enough free memory, or nil. It chooses at random among the cheapest engines
 // whose costs count as equal.
 func choosePrimary(now clock.Millis, req Requirements, targets []*targetState, parts, memory int, random randomness) *candidate {
