relay, ticket, platform: Give up attempts whose leased memory is not used

An attempt with leases is cancelled when its target is reported down, which a hanging one is not.

Evidence: the log of the instance: placed at 6.73 s, predicted first event after 1.4 s, attempt failed at its deadline at 21.63 s without an event; STUCK is seen 9 s after the lease, at 15.74 s.

If one says that its lease is not, the attempt is abandoned like one whose target is down: retried if it may be, the leases released. A slow prefill, which uses the leases, goes on.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -21,13 +21,15 @@
 func (s *requestState) tryTarget(ctx context.Context, placement *board.Placement) (outcome string, tryNext bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	release, err := s.reserveMemory(ctx, placement)
+	leases, err := s.reserveMemory(ctx, placement)
 	if err != nil {
 		placement.End(board.Inconclusive)
 		s.reservationFailures++
 		return "", s.reservationFailures < maxReservationFailures && ctx.Err() == nil
 	}
-	defer release()
+	if leases != nil {
+		defer leases.Release()
+	}
 	ended := make(chan struct{})
 	defer close(ended)
 	s.lastProgress.Store(int64(clock.Now()))
@@ -36,6 +38,9 @@
 	if mayRetry || placement.HelperMemory > 0 {
 		go s.cancelIfTargetDown(watchedAttempt{placement.TargetDown(), ended, mayRetry, placement.HelperMemory > 0}, cancel)
 	}
+	if leases != nil {
+		go s.cancelIfMemoryIdle(leases, s.lastProgress.Load(), watchedAttempt{placement.TargetDown(), ended, mayRetry, true}, cancel)
+	}
 	answer, err := s.relay.Send(ctx, s.Request, placement, s.lastEventID)
 	if err == nil || KindOf(err) != NotSent {
 		s.attemptsSent++
@@ -110,14 +115,8 @@
 	ticker := time.NewTicker(stallCheckInterval.Duration())
 	defer ticker.Stop()
 	for {
-		if clock.Now()-clock.Millis(s.lastProgress.Load()) > stallTimeout {
-			retry := watched.mayRetry && s.relay.Budget(s.Service).TakeRetry()
-			if retry || watched.holdsMemory {
-				s.retryReserved.Store(retry)
-				s.targetDown.Store(true)
-				cancel()
-				return
-			}
+		if clock.Now()-clock.Millis(s.lastProgress.Load()) > stallTimeout && s.abandon(watched, cancel) {
+			return
 		}
 		select {
 		case <-watched.ended:
@@ -127,20 +126,49 @@
 	}
 }
 
-// reserveMemory reserves the memory that a placement needs on its helpers; the function that it returns releases it.
-func (s *requestState) reserveMemory(ctx context.Context, p *board.Placement) (func(), error) {
+// abandon cancels an attempt if a retry is allowed or if it has memory reserved on helpers, and reports whether it did.
+func (s *requestState) abandon(watched watchedAttempt, cancel context.CancelFunc) bool {
+	retry := watched.mayRetry && s.relay.Budget(s.Service).TakeRetry()
+	if !retry && !watched.holdsMemory {
+		return false
+	}
+	s.retryReserved.Store(retry)
+	s.targetDown.Store(true)
+	cancel()
+	return true
+}
+
+// cancelIfMemoryIdle cancels an attempt that has got no event by the idle limit of its leases, if the helpers say that the memory
+// is not in use: its target does not work on the prompt, and others cannot use the memory.
+func (s *requestState) cancelIfMemoryIdle(leases *ticket.LeaseSet, startedAt int64, watched watchedAttempt, cancel context.CancelFunc) {
+	timer := time.NewTimer(s.relay.Tickets.IdleLimit().Duration())
+	defer timer.Stop()
+	select {
+	case <-watched.ended:
+		return
+	case <-timer.C:
+	}
+	if s.lastProgress.Load() != startedAt || !leases.Idle(s.ctx) {
+		return
+	}
+	select {
+	case <-watched.ended:
+	default:
+		slog.Info("attempt abandoned, its leased memory is not used", "request", s.ID)
+		s.abandon(watched, cancel)
+	}
+}
+
+// reserveMemory reserves the memory that a placement needs on its helpers; it returns nil if it needs none.
+func (s *requestState) reserveMemory(ctx context.Context, p *board.Placement) (*ticket.LeaseSet, error) {
 	if p.HelperMemory == 0 {
-		return func() {}, nil
+		return nil, nil
 	}
 	leases := make([]ticket.Lease, len(p.Helpers))
 	for i, helper := range p.Helpers {
 		leases[i] = ticket.Lease{ID: p.LeaseID(i), Target: helper.ID, Addr: helper.Addr, Born: helper.Born, Tokens: p.HelperMemory}
 	}
-	leaseSet, err := s.relay.Tickets.Acquire(ctx, leases)
-	if err != nil {
-		return nil, err
-	}
-	return leaseSet.Release, nil
+	return s.relay.Tickets.Acquire(ctx, leases)
 }
 
 // handleFailure reports a failed attempt to the board, logs it, and returns an empty outcome and whether another target
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -13,6 +14,8 @@
 
 const (
 	defaultMaxUnused   = 4 * clock.Second      // if Manager.MaxUnusedTime gives none
+	defaultMaxIdle     = 9 * clock.Second      // if Manager.MaxIdleTime gives none
+	idleShare          = 0.75                  // of the maximum idle time, after which leases are checked; the rest allows for the check and the release
 	leaseShare         = 0.75                  // of the maximum unused time; the rest allows for a last renewal that reaches the engine late
 	renewalsPerLease   = 3.5                   // calls within one lease, so that it survives the loss of some
 	callTimeout        = 400 * clock.Millis(1) // for one call to an engine
@@ -35,6 +38,10 @@
 	Release func(ctx context.Context, l Lease) error
 	// MaxUnusedTime returns how long memory may stay held after its request has ended; nil or zero selects the default.
 	MaxUnusedTime func() clock.Millis
+	// MaxIdleTime returns how long memory may stay held before its request uses it; nil or zero selects the default.
+	MaxIdleTime func() clock.Millis
+	// InUse asks an engine whether a request uses a lease.
+	InUse func(ctx context.Context, l Lease) (bool, error)
 }
 
 // leaseTime returns the duration of a lease.
@@ -46,6 +53,15 @@
 	return clock.Millis(leaseShare * float64(maxUnused))
 }
 
+// IdleLimit returns the time after which leases that no request uses are to be given up.
+func (m *Manager) IdleLimit() clock.Millis {
+	maxIdle := defaultMaxIdle
+	if m.MaxIdleTime != nil && m.MaxIdleTime() > 0 {
+		maxIdle = m.MaxIdleTime()
+	}
+	return clock.Millis(idleShare * float64(maxIdle))
+}
+
 // LeaseSet is a set of leases that are renewed until Release.
 type LeaseSet struct {
 	manager *Manager
@@ -100,6 +116,26 @@
 	}
 }
 
+// Idle reports whether an engine says that no request uses its lease. One that does not answer counts as if it were in use.
+func (s *LeaseSet) Idle(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	var idle atomic.Bool
+	var group sync.WaitGroup
+	for _, l := range s.leases {
+		group.Go(func() {
+			used, err := s.manager.InUse(ctx, l)
+			if err == nil && !used {
+				slog.Info("memory lease not used", "ticket", l.ID, "target", l.Target)
+				metrics.GetOrCreateCounter(`pier_ticket_events_total{event="idle"}`).Inc()
+				idle.Store(true)
+			}
+		})
+	}
+	group.Wait()
+	return idle.Load()
+}
+
 // Release stops the renewals and releases all leases in the background.
 func (s *LeaseSet) Release() {
 	s.stop()
