relay: Do not blame a prompt for memory that was not used

An attempt that is given up since its leases are idle failed as if its target were down, so that the shared parts of its prompt were counted as under a crash (package blame), although the engine hangs and has not ended.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -115,7 +115,7 @@
 	ticker := time.NewTicker(stallCheckInterval.Duration())
 	defer ticker.Stop()
 	for {
-		if clock.Now()-clock.Millis(s.lastProgress.Load()) > stallTimeout && s.abandon(watched, cancel) {
+		if clock.Now()-clock.Millis(s.lastProgress.Load()) > stallTimeout && s.abandon(Stalled, watched, cancel) {
 			return
 		}
 		select {
@@ -126,14 +126,15 @@
 	}
 }
 
-// abandon cancels an attempt if a retry is allowed or if it has memory reserved on helpers, and reports whether it did.
-func (s *requestState) abandon(watched watchedAttempt, cancel context.CancelFunc) bool {
+// abandon cancels an attempt as a failure of the given kind if a retry is allowed or if it has memory reserved on helpers, and
+// reports whether it did.
+func (s *requestState) abandon(kind ErrorKind, watched watchedAttempt, cancel context.CancelFunc) bool {
 	retry := watched.mayRetry && s.relay.Budget(s.Service).TakeRetry()
 	if !retry && !watched.holdsMemory {
 		return false
 	}
 	s.retryReserved.Store(retry)
-	s.targetDown.Store(true)
+	s.abandoned.Store(&kind)
 	cancel()
 	return true
 }
@@ -155,7 +156,7 @@
 	case <-watched.ended:
 	default:
 		slog.Info("attempt abandoned, its leased memory is not used", "request", s.ID)
-		s.abandon(watched, cancel)
+		s.abandon(MemoryIdle, watched, cancel)
 	}
 }
 
@@ -175,8 +176,8 @@
 // may be tried.
 func (s *requestState) handleFailure(ctx context.Context, p *board.Placement, err error) (string, bool) {
 	kind := KindOf(err)
-	if s.targetDown.Swap(false) {
-		kind, ctx = Stalled, s.ctx
+	if why := s.abandoned.Swap(nil); why != nil {
+		kind, ctx = *why, s.ctx
 	}
 	slog.Info("attempt failed", "request", s.ID, "target", p.Target.ID, "error", err.Error(), "ended", ctx.Err() != nil,
 		"events", s.eventsForwarded-s.eventsBefore, "parts", s.SharedParts)
--- a/internal/relay/error.go
+++ b/internal/relay/error.go
@@ -12,6 +12,7 @@
 	Mismatched     ErrorKind = "foreign"   // the answer belongs to another request, or an event is out of sequence
 	NotRunUnproven ErrorKind = "unproven"  // a status such as 503, without the statement that the request has not run
 	Stalled        ErrorKind = "silent"    // the target is down and sent nothing for stallTimeout
+	MemoryIdle     ErrorKind = "idle"      // the target did not begin, and the memory that was leased on helpers was not used
 )
 
 // Error is a failed attempt.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,22 +52,22 @@
 	ctx                 context.Context // of the whole request
 	relay               *Relay
 	w                   http.ResponseWriter
-	exclude             map[string]bool // ids of targets to avoid, see board.Requirements.Exclude
-	attemptsSent        int             // attempts that reached their target, or may have
-	unreachableTargets  int             // attempts whose target was not reached
-	reservationFailures int             // attempts whose memory on helpers could not be reserved
-	mayHaveRun          bool            // a target may have run the request
-	responseStarted     bool            // the status and header have been sent to the caller
-	numbered            bool            // an event with an id has been forwarded to the caller, so that the stream can be resumed
-	abortConn           bool            // close the connection to the caller, because the answer is incomplete
-	targetDown          atomic.Bool     // the current attempt was cancelled because its target is down
-	retryReserved       atomic.Bool     // the next attempt is already deducted from the retry budget
-	lastEventID         int             // of the last event forwarded to the caller
-	eventsForwarded     int             // number of events forwarded to the caller
-	eventsBefore        int             // number of events forwarded by earlier attempts
-	answering           bool            // the target of the current attempt answers it, see answeringAfter
-	target              string          // id of the target of the current attempt
-	rateLimit           *float64        // that the target named in its last answer
+	exclude             map[string]bool           // ids of targets to avoid, see board.Requirements.Exclude
+	attemptsSent        int                       // attempts that reached their target, or may have
+	unreachableTargets  int                       // attempts whose target was not reached
+	reservationFailures int                       // attempts whose memory on helpers could not be reserved
+	mayHaveRun          bool                      // a target may have run the request
+	responseStarted     bool                      // the status and header have been sent to the caller
+	numbered            bool                      // an event with an id has been forwarded to the caller, so that the stream can be resumed
+	abortConn           bool                      // close the connection to the caller, because the answer is incomplete
+	abandoned           atomic.Pointer[ErrorKind] // why the current attempt was cancelled here; nil if it was not
+	retryReserved       atomic.Bool               // the next attempt is already deducted from the retry budget
+	lastEventID         int                       // of the last event forwarded to the caller
+	eventsForwarded     int                       // number of events forwarded to the caller
+	eventsBefore        int                       // number of events forwarded by earlier attempts
+	answering           bool                      // the target of the current attempt answers it, see answeringAfter
+	target              string                    // id of the target of the current attempt
+	rateLimit           *float64                  // that the target named in its last answer
 	predictedFirstEvent clock.Millis
 	timeToFirstEvent    clock.Millis // since the request arrived
 	helpers             []string     // ids of targets that prefill a part of the prompt
