feed: Ask a source that failed at once whether it is back

Cause: the first watch after an outage waits up to 3 s for news, and only its answer tells that the store is back, or came back from a copy. A target that the list lacks is kept for 2 s from then.

Ruled out: the pauses alone.

Change: while the source has not answered since a failure, it is polled. Pauses are random and at most 1 s, so that instances that lose it at the same moment do not ask at the same moments.

Evidence: TestReturnNoticedSoon and TestRetriesSpread fail on the code before.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,7 +20,7 @@
 	emptySourceInterval  = clock.Second          // between attempts while the source answers that there is no version yet
 	emptyPeersInterval   = 300 * clock.Millis(1) // between attempts while only peers answer that they have none
 	retryDelay           = 500 * clock.Millis(1) // after a failed watch; doubled for each consecutive one
-	maxRetryDelay        = 2 * clock.Second      // after several failures of the source
+	maxRetryDelay        = clock.Second          // after several failures of the source
 	maxFirstFetches      = 3                     // peers asked at once for a first version
 	maxFirstReads        = 4                     // concurrent attempts to read a first version
 	fetchTimeout         = 600 * clock.Millis(1) // of a fetch from a peer, after which the source is polled instead
@@ -203,17 +204,18 @@
 			_ = clock.Sleep(ctx, retryDelay)
 			continue
 		}
-		wait := defaultWatchDuration
-		if f.WatchDuration != nil {
-			wait = f.WatchDuration()
+		duration := f.watchDuration()
+		wait := duration
+		if f.failing.Load() {
+			wait = 0 // the answer tells at once that the source is back, and not only when something changes
 		}
 		began := clock.Now()
-		watchCtx, cancel := context.WithTimeout(ctx, 2*wait.Duration())
+		watchCtx, cancel := context.WithTimeout(ctx, 2*duration.Duration())
 		o, err := f.Watch(watchCtx, f.Current().Version, wait)
 		cancel()
 		if err != nil {
 			f.recordSourceFailure("watch", began, err)
-			_ = clock.Sleep(ctx, delay)
+			_ = clock.Sleep(ctx, retryPause(delay))
 			delay = min(2*delay, maxRetryDelay)
 			continue
 		}
@@ -224,6 +226,20 @@
 	}
 }
 
+// watchDuration returns how long the source is asked to hold a watch call open.
+func (f *Feed) watchDuration() clock.Millis {
+	if f.WatchDuration == nil {
+		return defaultWatchDuration
+	}
+	return f.WatchDuration()
+}
+
+// retryPause returns a random part of a delay, at least half of it, so that instances which lose the source at the same moment
+// do not ask again at the same moment.
+func retryPause(delay clock.Millis) clock.Millis {
+	return delay/2 + clock.Millis(rand.Int64N(int64(delay/2)+1))
+}
+
 func (f *Feed) poll(ctx context.Context) {
 	began := clock.Now()
 	o, err := f.readIfChanged(ctx)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -17,20 +17,26 @@
 func newFeed(t *testing.T, watch func(calls int64) (Object, error)) (*Feed, *atomic.Int64) {
 	t.Helper()
 	calls := &atomic.Int64{}
+	return runFeed(t, func(context.Context, clock.Millis) (Object, error) { return watch(calls.Add(1)) }), calls
+}
+
+// runFeed runs a feed that reads version 1 first and then watches.
+func runFeed(t *testing.T, watch func(ctx context.Context, wait clock.Millis) (Object, error)) *Feed {
+	t.Helper()
 	f := &Feed{
 		Name: "test", Peers: func() []string { return nil }, ShouldWatch: func() bool { return true },
 		PollInterval: func() clock.Millis { return clock.Minute }, Apply: func(Object) error { return nil },
 		Read: func(context.Context) (Object, error) {
 			return Object{Version: Version{Number: 1}, Value: []byte("1")}, nil
 		},
-		Watch: func(context.Context, Version, clock.Millis) (Object, error) { return watch(calls.Add(1)) },
+		Watch: func(ctx context.Context, _ Version, wait clock.Millis) (Object, error) { return watch(ctx, wait) },
 		Fetch: func(context.Context, string) (Object, error) { return Object{}, eris.New("no peer") },
 	}
 	f.Init()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = f.Run(ctx) }()
-	return f, calls
+	return f
 }
 
 // A watch that fails at once is retried at a bounded rate.
@@ -42,6 +48,40 @@
 	is.True(calls.Load() <= 4)
 }
 
+// Guards against: an instance notices that the source is back so late after an outage that too little of the time in which a
+// target that leaves must be given up is left.
+func TestReturnNoticedSoon(t *testing.T) {
+	const (
+		outage        = 1600 * clock.Millis(1) // several failed watches
+		noticedWithin = 1250 * clock.Millis(1) // half of what remains of that time when targets have written their entries again
+	)
+	is := is.New(t)
+	back := clock.Now() + firstReadInterval + retryDelay + outage
+	f := runFeed(t, func(ctx context.Context, wait clock.Millis) (Object, error) {
+		if clock.Now() < back {
+			return Object{}, eris.New("reset")
+		}
+		return Object{Version: Version{Number: 1}}, clock.Sleep(ctx, wait) // nothing changes
+	})
+	_ = clock.Sleep(context.Background(), back+noticedWithin-clock.Now())
+	is.True(f.RecoveredAt() >= back)
+}
+
+// Guards against: feeds that lose the source at the same moment all ask again at the same moments, so that nobody notices its
+// return between these.
+func TestRetriesSpread(t *testing.T) {
+	const feeds = 6
+	is := is.New(t)
+	seen := make(map[clock.Millis]bool) // moments of the second retry
+	for range feeds {
+		first, second := retryPause(retryDelay), retryPause(maxRetryDelay)
+		is.True(first >= retryDelay/2 && first <= retryDelay)
+		is.True(second >= maxRetryDelay/2 && second <= maxRetryDelay)
+		seen[first+second] = true
+	}
+	is.True(len(seen) > feeds/2)
+}
+
 // A burst of changes costs at most one watch call per coalesceDelay.
 func TestChangesCoalesced(t *testing.T) {
 	is := is.New(t)
