--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -176,15 +176,22 @@
 func (f *Feed) readFirst(ctx context.Context) {
 	var group sync.WaitGroup
 	peers := f.Peers()
-	for _, peer := range peers[:min(len(peers), f.firstFetches())] {
-		group.Go(func() { f.fetchFromPeer(ctx, peer) })
-	}
+	group.Go(func() { f.ReadFrom(ctx, peers[:min(len(peers), f.firstFetches())]) })
 	if f.readsFirst() {
 		group.Go(func() { f.poll(ctx) })
 	}
 	group.Wait()
 }
 
+// ReadFrom reads the object from peers at once, and returns when each has answered or failed.
+func (f *Feed) ReadFrom(ctx context.Context, peers []string) {
+	var group sync.WaitGroup
+	for _, peer := range peers {
+		group.Go(func() { f.fetchFromPeer(ctx, peer) })
+	}
+	group.Wait()
+}
+
 // readsFirst reports whether a first version is read from the source too.
 func (f *Feed) readsFirst() bool { return f.ReadsFirst == nil || f.ReadsFirst() }
 
