ticket, board, relay: Lease all memory of a split prompt, one engine after the other

Cause: hold and wait.

Leases at all engines at once: no prompt waits, but in the test each got one of two leases, released it and tried again at the same moment, three times, and both were refused.

One of the sets that share engines is then acquired, the others are refused at the first shared engine. The field HelperMemory is PartMemory now.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -280,7 +280,7 @@
 		p.Helpers = append(p.Helpers, h.Target)
 	}
 	if r.SplitMemory {
-		p.HelperMemory = r.memoryTokens(true)
+		p.PartMemory = r.memoryTokens(true)
 	}
 	b.ownRequests[r.Number] = &r
 	b.placedAt[r.Number] = now
--- a/internal/board/placement.go
+++ b/internal/board/placement.go
@@ -22,7 +22,7 @@
 type Placement struct {
 	Target              Target
 	Helpers             []Target     // engines that prefill a part of the prompt
-	HelperMemory        int          // tokens that each helper keeps in memory; zero if the target has the memory for the whole prompt
+	PartMemory          int          // tokens that each helper keeps in memory; zero if the target has the memory for the whole prompt
 	PredictedFirstEvent clock.Millis // time to the first event; zero for a plain service
 
 	board    *Board
@@ -50,9 +50,21 @@
 	return ""
 }
 
-// LeaseID returns a unique id for the lease of memory at a helper, given by its index.
-func (p *Placement) LeaseID(helper int) string {
-	return fmt.Sprintf("%s-%x-%d", p.board.Self, p.number, helper)
+// Leased returns the engines whose memory is to be leased, the target first: none if the target has the memory for the whole
+// prompt.
+//
+// The target is one of them, so that all memory is acquired at once or not at all. A prompt that waited for memory at its target
+// while it holds leases could wait for a prompt that waits for these, where instances do not hear of each other.
+func (p *Placement) Leased() []Target {
+	if p.PartMemory == 0 {
+		return nil
+	}
+	return append([]Target{p.Target}, p.Helpers...)
+}
+
+// LeaseID returns a unique id for the lease at an engine of Leased, given by its index.
+func (p *Placement) LeaseID(engine int) string {
+	return fmt.Sprintf("%s-%x-%d", p.board.Self, p.number, engine)
 }
 
 // RecordFirstEvent records that the first event has been received, and broadcasts it.
--- a/internal/board/split_test.go
+++ b/internal/board/split_test.go
@@ -15,9 +15,11 @@
 		place(t, boards[0], short).RecordFirstEvent()
 	}
 	p := place(t, boards[0], Requirements{Service: "models", PromptTokens: 900_000, MaxOutputTokens: 600, FirstEventSLO: 3000, EventGapSLO: 1000})
-	is.True(p.HelperMemory > 0)
-	is.True(p.HelperMemory*(1+len(p.Helpers)) >= 900_000-len(p.Helpers))
-	is.True(p.HelperMemory <= testEngine.Memory)
+	is.True(p.PartMemory > 0)
+	is.True(p.PartMemory*(1+len(p.Helpers)) >= 900_000-len(p.Helpers))
+	is.True(p.PartMemory <= testEngine.Memory)
+	is.Equal(len(p.Leased()), 1+len(p.Helpers)) // no part waits for memory
+	is.Equal(p.Leased()[0].ID, p.Target.ID)
 	is.True(1+len(p.Helpers) <= 12) // a quarter of the engines stays free for short prompts
 	waitDelivered(boards)
 	p.RecordFirstEvent()
@@ -37,19 +39,3 @@
 	_, err := boards[0].Place(Requirements{Service: "models", PromptTokens: 8_000_000, MaxOutputTokens: 1, FirstEventSLO: 3000})
 	is.True(err != nil) // more than all engines together hold
 }
-
-// Guards against: two instances that do not hear of each other split prompts over the same engines, and each prompt holds the
-// memory that the other one waits for, until their deadlines.
-func TestSplitPromptsWaitInOneOrder(t *testing.T) {
-	is := is.New(t)
-	req := Requirements{Service: "models", PromptTokens: 900_000, MaxOutputTokens: 600, FirstEventSLO: 3000, EventGapSLO: 1000}
-	for range 20 {
-		for _, b := range newBoards(t, 1, 16) {
-			p := place(t, b, req)
-			is.True(p.HelperMemory > 0)
-			for _, h := range p.Helpers {
-				is.True(h.ID < p.Target.ID)
-			}
-		}
-	}
-}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -35,8 +35,8 @@
 	s.lastProgress.Store(int64(clock.Now()))
 	s.eventsBefore, s.answering = s.eventsForwarded, false
 	mayRetry := s.retryable() && s.attemptsSent+1 < max(s.MaxAttempts, 1)
-	if mayRetry || placement.HelperMemory > 0 {
-		go s.cancelIfTargetDown(watchedAttempt{placement.TargetDown(), ended, mayRetry, placement.HelperMemory > 0}, cancel)
+	if mayRetry || placement.PartMemory > 0 {
+		go s.cancelIfTargetDown(watchedAttempt{placement.TargetDown(), ended, mayRetry, placement.PartMemory > 0}, cancel)
 	}
 	if leases != nil {
 		go s.cancelIfMemoryIdle(leases, s.lastProgress.Load(), watchedAttempt{placement.TargetDown(), ended, mayRetry, true}, cancel)
@@ -100,11 +100,11 @@
 type watchedAttempt struct {
 	targetDown, ended <-chan struct{} // closed when the target or a helper is reported down, and when the attempt has ended
 	mayRetry          bool            // the request may be sent once more
-	holdsMemory       bool            // the attempt has memory reserved on helpers
+	holdsMemory       bool            // the attempt has memory reserved
 }
 
 // cancelIfTargetDown cancels an attempt whose target is reported down, once the target has sent nothing for stallTimeout
-// and the budget allows a retry. An attempt whose target still sends may finish. An attempt with memory reserved on helpers is
+// and the budget allows a retry. An attempt whose target still sends may finish. An attempt with reserved memory is
 // cancelled even if no retry is allowed, so that the memory is not kept for a target that is down.
 func (s *requestState) cancelIfTargetDown(watched watchedAttempt, cancel context.CancelFunc) {
 	select {
@@ -126,7 +126,7 @@
 	}
 }
 
-// abandon cancels an attempt as a failure of the given kind if a retry is allowed or if it has memory reserved on helpers, and
+// abandon cancels an attempt as a failure of the given kind if a retry is allowed or if it has reserved memory, and
 // reports whether it did.
 func (s *requestState) abandon(kind ErrorKind, watched watchedAttempt, cancel context.CancelFunc) bool {
 	retry := watched.mayRetry && s.relay.Budget(s.Service).TakeRetry()
@@ -139,7 +139,7 @@
 	return true
 }
 
-// cancelIfMemoryIdle cancels an attempt that has got no event by the idle limit of its leases, if the helpers say that the memory
+// cancelIfMemoryIdle cancels an attempt that has got no event by the idle limit of its leases, if the engines say that the memory
 // is not in use: its target does not work on the prompt, and others cannot use the memory.
 func (s *requestState) cancelIfMemoryIdle(leases *ticket.LeaseSet, startedAt int64, watched watchedAttempt, cancel context.CancelFunc) {
 	timer := time.NewTimer(s.relay.Tickets.IdleLimit().Duration())
@@ -160,14 +160,15 @@
 	}
 }
 
-// reserveMemory reserves the memory that a placement needs on its helpers; it returns nil if it needs none.
+// reserveMemory reserves the memory that a placement needs on its engines; it returns nil if it needs none.
 func (s *requestState) reserveMemory(ctx context.Context, p *board.Placement) (*ticket.LeaseSet, error) {
-	if p.HelperMemory == 0 {
+	engines := p.Leased()
+	if len(engines) == 0 {
 		return nil, nil
 	}
-	leases := make([]ticket.Lease, len(p.Helpers))
-	for i, helper := range p.Helpers {
-		leases[i] = ticket.Lease{ID: p.LeaseID(i), Target: helper.ID, Addr: helper.Addr, Born: helper.Born, Tokens: p.HelperMemory}
+	leases := make([]ticket.Lease, len(engines))
+	for i, engine := range engines {
+		leases[i] = ticket.Lease{ID: p.LeaseID(i), Target: engine.ID, Addr: engine.Addr, Born: engine.Born, Tokens: p.PartMemory}
 	}
 	return s.relay.Tickets.Acquire(ctx, leases)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,7 +22,7 @@
 	maxUnreachableTargets  = 3                      // targets of a request that may prove unreachable without counting as attempts
 	stallTimeout           = 1200 * clock.Millis(1) // without an event, after which an attempt at a target that is reported down is cancelled
 	stallCheckInterval     = 200 * clock.Millis(1)
-	maxReservationFailures = 3                     // failures to reserve memory on helpers after which a request is refused
+	maxReservationFailures = 3                     // failures to reserve memory after which a request is refused
 	answeringAfter         = 200 * clock.Millis(1) // after the first event of an attempt, by when an engine has crashed if a part of the prompt is fatal
 	minTimeLeft            = 20 * clock.Millis(1)  // before the deadline; a request with less time left is refused
 )
@@ -55,7 +55,7 @@
 	exclude             map[string]bool           // ids of targets to avoid, see board.Requirements.Exclude
 	attemptsSent        int                       // attempts that reached their target, or may have
 	unreachableTargets  int                       // attempts whose target was not reached
-	reservationFailures int                       // attempts whose memory on helpers could not be reserved
+	reservationFailures int                       // attempts whose memory could not be reserved
 	mayHaveRun          bool                      // a target may have run the request
 	responseStarted     bool                      // the status and header have been sent to the caller
 	numbered            bool                      // an event with an id has been forwarded to the caller, so that the stream can be resumed
@@ -130,7 +130,7 @@
 		if outcome != "" {
 			return outcome
 		}
-		if p.HelperMemory == 0 && !s.helperFailed(p) {
+		if p.PartMemory == 0 && !s.helperFailed(p) {
 			s.exclude[p.Target.ID] = true
 		}
 		if !tryNext {
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -1,8 +1,10 @@
 package ticket
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,33 +71,39 @@
 	stop    context.CancelFunc
 }
 
-// Acquire acquires all leases or none; the error is that of the first lease, in order, that could not be acquired.
+// Acquire acquires all leases or none; the error is that of the first one that could not be acquired.
+//
+// They are acquired one after the other in the order of the engines' ids. Of sets that share engines one is then acquired,
+// while at once each could get what another one lacks.
 func (m *Manager) Acquire(ctx context.Context, leases []Lease) (*LeaseSet, error) {
-	errs := make([]error, len(leases))
-	var group sync.WaitGroup
-	for i, l := range leases {
-		group.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
-			defer cancel()
-			errs[i] = m.Reserve(ctx, l, m.leaseTime())
-		})
-	}
-	group.Wait()
-	renewing, stop := context.WithCancel(context.WithoutCancel(ctx))
-	set := &LeaseSet{manager: m, leases: leases, stop: stop}
-	for i, err := range errs {
-		if err != nil {
-			metrics.GetOrCreateCounter(`pier_ticket_events_total{event="not_had"}`).Inc()
-			slog.Info("memory lease not acquired", "ticket", leases[i].ID, "target", leases[i].Target, "tokens", leases[i].Tokens, "error", err.Error())
-			set.Release()
+	ordered := slices.SortedFunc(slices.Values(leases), func(a, b Lease) int { return cmp.Compare(a.Target, b.Target) })
+	acquiring, cancel := context.WithTimeout(ctx, (m.leaseTime() / 2).Duration()) // the first lease is renewed only after the last one
+	defer cancel()
+	for n, l := range ordered {
+		if err := m.acquire(acquiring, l); err != nil {
+			m.release(ordered[:n+1])
 			return nil, err
 		}
 	}
 	metrics.GetOrCreateCounter(`pier_ticket_events_total{event="held"}`).Inc()
+	renewing, stop := context.WithCancel(context.WithoutCancel(ctx))
+	set := &LeaseSet{manager: m, leases: ordered, stop: stop}
 	go set.renew(renewing)
 	return set, nil
 }
 
+// acquire acquires one lease; a failure is counted and logged.
+func (m *Manager) acquire(ctx context.Context, l Lease) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	err := m.Reserve(ctx, l, m.leaseTime())
+	if err != nil {
+		metrics.GetOrCreateCounter(`pier_ticket_events_total{event="not_had"}`).Inc()
+		slog.Info("memory lease not acquired", "ticket", l.ID, "target", l.Target, "tokens", l.Tokens, "error", err.Error())
+	}
+	return err
+}
+
 // renew renews the leases periodically until they are released.
 func (s *LeaseSet) renew(ctx context.Context) {
 	interval := clock.Millis(float64(s.manager.leaseTime()) / renewalsPerLease)
@@ -139,8 +147,13 @@
 // Release stops the renewals and releases all leases in the background.
 func (s *LeaseSet) Release() {
 	s.stop()
-	for _, l := range s.leases {
-		go s.manager.releaseUntilConfirmed(l)
+	s.manager.release(s.leases)
+}
+
+// release releases leases in the background, also those that an engine may not have granted.
+func (m *Manager) release(leases []Lease) {
+	for _, l := range leases {
+		go m.releaseUntilConfirmed(l)
 	}
 }
 
--- a/internal/ticket/ticket_test.go
+++ b/internal/ticket/ticket_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -81,6 +82,46 @@
 	is.Equal(e.count(), 0)
 }
 
+// Guards against: sets that share engines, acquired at the same moments, all fail, as each gets what another one lacks.
+func TestSharedEngines(t *testing.T) {
+	const sets = 8
+	is := is.New(t)
+	for range 20 {
+		var mu sync.Mutex
+		held := make(map[string]string) // lease by engine
+		m := &Manager{
+			Reserve: func(_ context.Context, l Lease, _ clock.Millis) error {
+				time.Sleep(time.Millisecond)
+				mu.Lock()
+				defer mu.Unlock()
+				if old := held[l.Target]; old != "" && old != l.ID {
+					return &Error{Op: "reserve", Kind: Refused, Target: l.Target}
+				}
+				held[l.Target] = l.ID
+				return nil
+			},
+			Release: func(context.Context, Lease) error { return nil }, // none is free again
+		}
+		acquired := make(chan bool, sets)
+		for n := range sets {
+			id := string(rune('a' + n))
+			leases := []Lease{{ID: id, Target: "one"}, {ID: id, Target: "two"}, {ID: id, Target: "three"}}
+			rand.Shuffle(len(leases), func(i, j int) { leases[i], leases[j] = leases[j], leases[i] })
+			go func() {
+				_, err := m.Acquire(context.Background(), leases)
+				acquired <- err == nil
+			}()
+		}
+		succeeded := 0
+		for range sets {
+			if <-acquired {
+				succeeded++
+			}
+		}
+		is.Equal(succeeded, 1)
+	}
+}
+
 // If an instance is killed right after a renewal, its memory is freed within the allowed time, even if that renewal
 // reached the engine late. A lease is renewed often enough to survive lost renewals.
 func TestLeaseLapsesAfterKill(t *testing.T) {
