platform, feed: Notice a lost watch within the time for a change

The store had dropped its history in between; the machines counted as undisturbed again 3 s after that.

Cause: watches that wait were lost without a word, and a watch was given up only 1.5 s after its 3 s were over, with a pause of up to 0.5 s before the next one.

Ruled out: the clock that was set back on some of the machines (times are monotonic), and the copies: all instances were in era 3 at 22.4 s.

The pause between failed watches counts from the start of the failed one, so that one that was lost is followed by a poll at once.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -222,7 +222,7 @@
 		cancel()
 		if err != nil {
 			f.recordSourceFailure("watch", began, err)
-			_ = clock.Sleep(ctx, retryPause(delay))
+			_ = clock.Sleep(ctx, began+retryPause(delay)-clock.Now())
 			delay = min(2*delay, maxRetryDelay)
 			continue
 		}
@@ -241,8 +241,8 @@
 	return f.WatchDuration()
 }
 
-// retryPause returns a random part of a delay, at least half of it, so that instances which lose the source at the same moment
-// do not ask again at the same moment.
+// retryPause returns the time from one failed watch to the next: a random part of a delay, at least half of it, so that instances
+// which lose the source at the same moment do not ask again at the same moment.
 func retryPause(delay clock.Millis) clock.Millis {
 	return delay/2 + clock.Millis(rand.Int64N(int64(delay/2)+1))
 }
