--- a/internal/board/placement.go
+++ b/internal/board/placement.go
@@ -22,7 +22,7 @@
 type Placement struct {
 	Target              Target
 	Helpers             []Target     // engines that prefill a part of the prompt
-	PartMemory          int          // tokens that each helper keeps in memory; zero if the target has the memory for the whole prompt
+	PartMemory          int          // tokens that the target and each helper keep in memory; zero if the target has the memory for the whole prompt
 	PredictedFirstEvent clock.Millis // time to the first event; zero for a plain service
 
 	board    *Board
