relay: Say of failed attempts why they failed, and of requests whether they were cut

Callers saw: streams that end in the middle. The logs had the outcome alone, the same for a refusal and for a cut answer (costly), and an attempt that the instance gave up itself read 'broken: context canceled'.

Change: 'attempt failed' names the kind and the silence before it; 'request' has 'cut', and pier_relay_cut_total counts cut answers by reason. No logic changed.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -180,8 +180,8 @@
 	if why := s.abandoned.Swap(nil); why != nil {
 		kind, ctx = *why, s.ctx
 	}
-	slog.Info("attempt failed", "request", s.ID, "target", p.Target.ID, "error", err.Error(), "ended", ctx.Err() != nil,
-		"events", s.eventsForwarded-s.eventsBefore, "parts", s.SharedParts)
+	slog.Info("attempt failed", "request", s.ID, "target", p.Target.ID, "kind", kind, "error", err.Error(), "ended", ctx.Err() != nil,
+		"silent_ms", int64(clock.Now())-s.lastProgress.Load(), "events", s.eventsForwarded-s.eventsBefore, "parts", s.SharedParts)
 	if kind == NotSent {
 		s.unreachableTargets++
 		if ctx.Err() != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -101,12 +101,15 @@
 func (s *requestState) recordOutcome(outcome string) {
 	took := clock.Now() - s.Arrived
 	metrics.GetOrCreateCounter(`pier_relay_requests_total{outcome="` + outcome + `"}`).Inc()
+	if s.abortConn {
+		metrics.GetOrCreateCounter(`pier_relay_cut_total{reason="` + outcome + `"}`).Inc()
+	}
 	if s.timeToFirstEvent > 0 {
 		metrics.GetOrCreateHistogram(`pier_relay_first_seconds{service="` + s.Service + `"}`).Update(float64(s.timeToFirstEvent) / 1000)
 	}
 	metrics.GetOrCreateHistogram(`pier_relay_seconds{service="` + s.Service + `"}`).Update(float64(took) / 1000)
 	slog.Info("request", "request", s.ID, "service", s.Service, "customer", s.Customer, "config", s.ConfigVersion,
-		"outcome", outcome, "target", s.target, "limit", s.rateLimit, "helpers", s.helpers, "sent", s.attemptsSent, "unreachable", s.unreachableTargets,
+		"outcome", outcome, "cut", s.abortConn, "target", s.target, "limit", s.rateLimit, "helpers", s.helpers, "sent", s.attemptsSent, "unreachable", s.unreachableTargets,
 		"prompt", s.PromptTokens, "parts", s.SharedParts, "predicted_ms", int64(s.predictedFirstEvent), "first_ms", int64(s.timeToFirstEvent), "aim_ms", int64(s.FirstEventSLO),
 		"events", s.eventsForwarded, "pause_ms", int64(s.longestGap), "pause_aim_ms", int64(s.EventGapSLO),
 		"left_ms", int64(s.Deadline-clock.Now()), "took_ms", int64(took))
