relay: Show that requests at a silent engine are ended while it would go on

TestSilentEngineNoOtherEngine and TestSilentEngineBeforeAnswer fail on this code, all ten cases after 1.2 s: an engine that answers neither a probe nor the request for 3.5 s loses its requests if the next one is not placed (costly), not run, unreachable, broken, or goes on wrongly. TestSilentEngineGoesOnFirst, TestSilentEngineReplaced and TestSilentEngineOfOtherRequests pass and have to go on doing so.

--- /dev/null
+++ b/internal/relay/silent_test.go
@@ -0,0 +1,225 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
+
+	"github.com/corianderpier/corianderpier/internal/blame"
+	"github.com/corianderpier/corianderpier/internal/board"
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/loop"
+	"github.com/corianderpier/corianderpier/internal/model"
+	"github.com/corianderpier/corianderpier/internal/retry"
+)
+
+// silence is how long the first engine of these tests sends nothing: longer than stallTimeout after a failed probe.
+const silence = 3500 * time.Millisecond
+
+// pausing answers with a first part, sends nothing for a while, and then sends the rest.
+func pausing(ctx context.Context, first string, pause time.Duration, rest string) *Answer {
+	body, w := io.Pipe()
+	go func() {
+		_, _ = io.WriteString(w, first)
+		select {
+		case <-ctx.Done():
+			_ = w.CloseWithError(ctx.Err())
+		case <-time.After(pause):
+			_, _ = io.WriteString(w, rest)
+			_ = w.Close()
+		}
+	}()
+	return &Answer{Status: http.StatusOK, Header: http.Header{}, Body: body}
+}
+
+// silentSite is a relay before two engines. The first attempt of a request goes to an engine that is silent for a while and does
+// not answer probes meanwhile; next answers the attempts at the other one.
+type silentSite struct {
+	next func(ctx context.Context, lastEventID int) (*Answer, error)
+
+	mu           sync.Mutex
+	silent       string // id of the silent engine; empty before the first attempt
+	lastEventIDs []int  // of all attempts
+	firstEnded   chan struct{}
+	retries      *retry.Budget
+}
+
+func (s *silentSite) probe(_ context.Context, t board.Target) (board.Report, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t.ID == s.silent {
+		return board.Report{}, eris.New("no answer")
+	}
+	return board.Report{Slowdown: 1}, nil
+}
+
+// send answers the first attempt with first, after that of another engine with next.
+func (s *silentSite) send(first, rest string) func(context.Context, Request, *board.Placement, int) (*Answer, error) {
+	return func(ctx context.Context, _ Request, p *board.Placement, lastEventID int) (*Answer, error) {
+		s.mu.Lock()
+		begun := s.silent != ""
+		if !begun {
+			s.silent = p.Target.ID
+		}
+		s.lastEventIDs = append(s.lastEventIDs, lastEventID)
+		s.mu.Unlock()
+		if !begun {
+			context.AfterFunc(ctx, func() { close(s.firstEnded) })
+			return pausing(ctx, first, silence, rest), nil
+		}
+		return s.next(ctx, lastEventID)
+	}
+}
+
+// serve serves one request, whose first engine answers with two parts and is silent in between. With place, all attempts but
+// the first one are placed by that function.
+func (s *silentSite) serve(t *testing.T, r Request, first, rest string, place func(board.Requirements) (*board.Placement, error)) (got *httptest.ResponseRecorder, aborted bool) {
+	t.Helper()
+	s.firstEnded = make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	engine := model.Engine{Slots: 16, Memory: 405_000, StepTime: 1.31, PrefillRate: 154, ChunkTokens: 2048, StepsPerPass: 34}
+	b := &board.Board{
+		Self: "entry-0", Loop: loop.New(), Broadcast: func([]byte) {}, Probe: s.probe, Monitors: func(string) bool { return true },
+		Engine: func(string) (model.Engine, bool) { return engine, true },
+	}
+	b.Init()
+	go func() { _ = b.Loop.Run(ctx) }()
+	go func() { _ = b.Run(ctx) }()
+	b.ReplaceTargets([]board.Target{{ID: "one", Service: "desk", Slots: 16}, {ID: "two", Service: "desk", Slots: 16}, {ID: "three", Service: "desk", Slots: 16}}, board.ListTrust{})
+	s.retries = &retry.Budget{Limits: func() retry.Limits { return retry.Limits{Extra: 10, Window: clock.Minute} }, Now: clock.Now}
+	placed := false
+	relay := &Relay{
+		Place: func(req board.Requirements) (*board.Placement, error) {
+			if placed && place != nil {
+				return place(req)
+			}
+			placed = true
+			return b.Place(req)
+		},
+		Send: s.send(first, rest), Budget: func(string) *retry.Budget { return s.retries },
+		Blame:      &blame.Tracker{Now: clock.Now, After: func(clock.Millis, func()) {}, Broadcast: func(blame.Report) {}},
+		RetryAfter: func(Request, Reason) clock.Millis { return 100 },
+		Refuse:     func(w http.ResponseWriter, _ Request, _ Refusal) { w.WriteHeader(http.StatusBadGateway) },
+	}
+	got = httptest.NewRecorder()
+	r.ID, r.Service, r.Arrived, r.MaxAttempts = "r", "desk", clock.Now(), 2
+	r.PromptTokens, r.MaxOutputTokens, r.FirstEventSLO, r.EventGapSLO = 1000, 100, 300, 250
+	r.Deadline = r.Arrived + 10*clock.Second
+	r.OperatorDeadline = r.Deadline
+	defer func() { aborted = recover() != nil }()
+	relay.Serve(ctx, got, r)
+	return got, false
+}
+
+// costly refuses to place a request.
+func costly(board.Requirements) (*board.Placement, error) {
+	return nil, &board.Error{Op: "place", Kind: board.Costly}
+}
+
+// notRun refuses a request.
+func notRun(context.Context, int) (*Answer, error) { return answerNotRun(Request{}, 0) }
+
+// resumable is a stream that another engine may go on with.
+var resumable = Request{Kind: Stream, Resumable: true}
+
+// Guards against: a stream is cut as its engine was silent for a while and no other engine may take it, although the engine
+// goes on.
+func TestSilentEngineNoOtherEngine(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		next  func(context.Context, int) (*Answer, error)
+		place func(board.Requirements) (*board.Placement, error)
+	}{
+		"not placed":        {place: costly},
+		"rejected":          {next: notRun},
+		"unreachable":       {next: func(context.Context, int) (*Answer, error) { return nil, &Error{Op: "send", Kind: NotSent} }},
+		"broken":            {next: func(context.Context, int) (*Answer, error) { return nil, &Error{Op: "send", Kind: Broken} }},
+		"500":               {next: func(context.Context, int) (*Answer, error) { return answerWith(500, "error")(Request{}, 0) }},
+		"wrong event":       {next: func(context.Context, int) (*Answer, error) { return answerWith(200, eventsBetween(1, 6))(Request{}, 0) }},
+		"breaks at once":    {next: func(context.Context, int) (*Answer, error) { return breakAfter("")(Request{}, 0) }},
+		"ends without more": {next: func(context.Context, int) (*Answer, error) { return answerWith(200, "")(Request{}, 0) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := &silentSite{next: c.next}
+			got, aborted := s.serve(t, resumable, eventsBetween(1, 2), eventsBetween(3, 6), c.place)
+			is.True(!aborted)
+			is.Equal(got.Code, http.StatusOK)
+			is.Equal(got.Body.String(), eventsBetween(1, 6))
+		})
+	}
+}
+
+// Guards against: a request whose engine was silent for a while before its first event is refused, although the engine goes on.
+func TestSilentEngineBeforeAnswer(t *testing.T) {
+	t.Parallel()
+	for name, r := range map[string]Request{"stream": resumable, "whole answer": {Kind: Idempotent}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			got, _ := (&silentSite{next: notRun}).serve(t, r, "", eventsBetween(1, 6), nil)
+			is.Equal(got.Code, http.StatusOK)
+			is.Equal(got.Body.String(), eventsBetween(1, 6))
+		})
+	}
+}
+
+// Guards against: the engine that was silent and the one that was asked beside it both answer, and events of both reach the caller.
+func TestSilentEngineGoesOnFirst(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := &silentSite{next: func(ctx context.Context, lastEventID int) (*Answer, error) {
+		return pausing(ctx, "", 2*silence, eventsBetween(lastEventID+1, 6)), nil
+	}}
+	got, aborted := s.serve(t, resumable, eventsBetween(1, 2), eventsBetween(3, 6), nil)
+	is.True(!aborted)
+	is.Equal(got.Body.String(), eventsBetween(1, 6))
+	is.Equal(s.lastEventIDs, []int{0, 2})
+}
+
+// A request whose engine is silent is answered by another engine as soon as that has an event, and the silent one is left.
+func TestSilentEngineReplaced(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		r           Request
+		first, want string
+	}{
+		"stream begun":     {resumable, eventsBetween(1, 2), eventsBetween(1, 6)},
+		"stream not begun": {resumable, "", eventsBetween(1, 6)},
+		"whole answer":     {Request{Kind: Idempotent}, "", eventsBetween(1, 6)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			began := time.Now()
+			s := &silentSite{next: func(_ context.Context, lastEventID int) (*Answer, error) {
+				return answerWith(200, eventsBetween(lastEventID+1, 6))(Request{}, 0)
+			}}
+			got, aborted := s.serve(t, c.r, c.first, "late", nil)
+			is.True(!aborted)
+			is.Equal(got.Body.String(), c.want)
+			is.True(time.Since(began) < silence)
+			<-s.firstEnded
+		})
+	}
+}
+
+// A stream that no other engine may go on with stays at its engine, however long that is silent.
+func TestSilentEngineOfOtherRequests(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := &silentSite{next: notRun}
+	got, aborted := s.serve(t, Request{Kind: Stream}, eventsBetween(1, 2), eventsBetween(3, 6), nil)
+	is.True(!aborted)
+	is.Equal(got.Body.String(), eventsBetween(1, 6))
+	is.Equal(len(s.lastEventIDs), 1)
+}
