relay: Ask another engine beside a silent one, in place of giving that up

Callers saw: streams cut in the middle, and refusals, 1.2 s after an engine fell silent, although it would have gone on (LOST).

Cause: an attempt at an engine that did not answer a probe and had sent nothing for 1.2 s was cancelled before it was known whether another engine takes the request. When none did (mostly costly: the request was late by then), a stream that had begun was cut. The class of fault: acting on suspected failure as if it were failure (a failure detector's false positive that destroys work).

Change: a watch per attempt asks another engine beside the silent one and reads ahead until that goes on with the answer; only then is the silent attempt ended. The first of both to send wins, so no event is lost or sent twice: progress is one lock that the attempt and its hedge share. TestAttemptCancelledIfTargetDown asked for the cancellation itself; in its place TestHedgeOnlyWhenSilent asks as strictly when a hedge may begin, and that it is paid from the budget, and TestMemoryOfSilentEngineReleased that leased memory does not stay leased: it is now checked within an answer as well. A silence is no longer held against the parts of a prompt as a crash.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
 	"slices"
-	"strconv"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -16,73 +13,132 @@
 	"github.com/corianderpier/corianderpier/internal/ticket"
 )
 
-// tryTarget sends the request to one target. It returns the outcome if the request has ended, or else an empty outcome and
-// whether another target may be tried.
-func (s *requestState) tryTarget(ctx context.Context, placement *board.Placement) (outcome string, tryNext bool) {
+// attempt is one attempt to have a target answer the request.
+type attempt struct {
+	ctx       context.Context
+	cancel    context.CancelFunc
+	placement *board.Placement
+	leases    *ticket.LeaseSet // nil if it needs none
+	answer    *Answer          // nil until its header has arrived
+}
+
+// newAttempt reserves the memory that a placement needs on its engines.
+func (s *requestState) newAttempt(ctx context.Context, p *board.Placement) (*attempt, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	leases, err := s.reserveMemory(ctx, placement)
+	leases, err := s.reserveMemory(ctx, p)
 	if err != nil {
-		placement.End(board.Inconclusive)
-		s.reservationFailures++
-		return "", s.reservationFailures < maxReservationFailures && ctx.Err() == nil
+		cancel()
+		return nil, err
+	}
+	return &attempt{ctx: ctx, cancel: cancel, placement: p, leases: leases}, nil
+}
+
+// close ends the attempt's connection and releases its memory.
+func (a *attempt) close() {
+	a.cancel()
+	if a.answer != nil {
+		_ = a.answer.Body.Close()
 	}
-	if leases != nil {
-		defer leases.Release()
+	if a.leases != nil {
+		a.leases.Release()
 	}
-	ended := make(chan struct{})
-	defer close(ended)
-	s.lastProgress.Store(int64(clock.Now()))
-	s.eventsBefore, s.answering = s.eventsForwarded, false
-	mayRetry := s.retryable() && s.attemptsSent+1 < max(s.MaxAttempts, 1)
-	if mayRetry || placement.PartMemory > 0 {
-		go s.cancelIfTargetDown(watchedAttempt{placement.TargetDown(), ended, mayRetry, placement.PartMemory > 0}, cancel)
+}
+
+// send sends the request, and returns once the header of the answer has arrived.
+func (a *attempt) send(rl *Relay, r Request, lastEventID int) error {
+	answer, err := rl.Send(a.ctx, r, a.placement, lastEventID)
+	if err != nil {
+		return err
 	}
-	if leases != nil {
-		go s.cancelIfMemoryIdle(leases, s.lastProgress.Load(), watchedAttempt{placement.TargetDown(), ended, mayRetry, true}, cancel)
+	a.answer = answer
+	if answer.RateLimit != nil || !answer.NotRun {
+		a.placement.RecordRateLimit(answer.RateLimit)
 	}
-	answer, err := s.relay.Send(ctx, s.Request, placement, s.lastEventID)
-	if err == nil || KindOf(err) != NotSent {
-		s.attemptsSent++
+	if answer.Notice != (board.Notice{}) {
+		a.placement.RecordNotice(answer.Notice)
 	}
+	return nil
+}
+
+// sent reports whether the target may have got the request, given the error of send.
+func sent(err error) bool { return err == nil || KindOf(err) != NotSent }
+
+// followUp says what may follow an attempt that has not answered the request.
+type followUp uint8
+
+const (
+	noFollowUp       followUp = iota // the request is not sent again
+	freeFollowUp                     // another target may be tried, as this one was not reached
+	budgetedFollowUp                 // another target may be tried if the budget allows
+)
+
+// tryTarget sends the request to one target. If that falls silent, a hedge at another target may take its place. It returns the
+// outcome if the request has ended, or else an empty outcome and whether another target may be tried.
+func (s *requestState) tryTarget(ctx context.Context, p *board.Placement) (outcome string, tryNext bool) {
+	current, err := s.newAttempt(ctx, p)
 	if err != nil {
-		return s.handleFailure(ctx, placement, err)
+		p.End(board.Inconclusive)
+		s.reservationFailures++
+		return "", s.reservationFailures < maxReservationFailures && ctx.Err() == nil
 	}
-	defer func() { _ = answer.Body.Close() }()
-	if s.rateLimit = answer.RateLimit; s.rateLimit != nil || !answer.NotRun {
-		placement.RecordRateLimit(s.rateLimit)
+	for {
+		w := s.watch(ctx, current)
+		outcome, next := s.runAttempt(current)
+		hedge := w.stop(outcome == "" && next != noFollowUp)
+		current.close()
+		s.attemptsSent += w.sent
+		s.mayHaveRun = s.mayHaveRun || w.mayHaveRun
+		switch {
+		case hedge != nil:
+			s.exclude[current.placement.Target.ID] = true
+			current = hedge
+		case outcome != "" || next == noFollowUp:
+			return outcome, false
+		default:
+			return "", next == freeFollowUp || s.takeRetry()
+		}
 	}
-	if answer.Notice != (board.Notice{}) {
-		placement.RecordNotice(answer.Notice)
+}
+
+// runAttempt sends the request, unless that is done, and forwards the answer.
+func (s *requestState) runAttempt(a *attempt) (outcome string, next followUp) {
+	s.target, s.predictedFirstEvent, s.helpers = a.placement.Target.ID, a.placement.PredictedFirstEvent, a.placement.HelperIDs()
+	s.eventsBefore, s.answering = s.eventsForwarded, false
+	if a.answer == nil {
+		err := a.send(s.relay, s.Request, s.lastEventID)
+		if sent(err) {
+			s.attemptsSent++
+		}
+		if err != nil {
+			return s.handleFailure(a, err)
+		}
 	}
-	switch {
+	s.rateLimit = a.answer.RateLimit
+	switch answer := a.answer; {
 	case answer.NotRun:
-		if helper := placement.FindHelper(answer.FaultyTarget); helper != "" {
-			s.exclude[helper] = true
-			placement.MarkHelperUnreachable(helper)
-			placement.End(board.Inconclusive)
-		} else {
-			placement.End(board.Failed)
-		}
-		countFailedAttempt("not_run")
-		return "", s.takeRetry()
+		return s.handleNotRun(a)
 	case impliesNotRun(answer.Status):
-		return s.handleFailure(ctx, placement, &Error{Op: "send", Kind: NotRunUnproven})
+		return s.handleFailure(a, &Error{Op: "send", Kind: NotRunUnproven})
 	case answer.Status >= http.StatusInternalServerError:
 		s.mayHaveRun = true
-		return s.handleServerError(placement, answer)
-	case s.responseStarted && !s.continues(answer):
-		return s.handleFailure(ctx, placement, &Error{Op: "resume", Kind: Mismatched, Err: eris.Errorf("status %d, type %q", answer.Status, answer.Header.Get("Content-Type"))})
+		return s.handleServerError(a)
+	case s.responseStarted && !continues(answer, s.contentType):
+		return s.handleFailure(a, notContinued(answer))
 	case s.Kind == Stream && answer.Status == http.StatusOK:
-		return s.forwardStream(ctx, placement, answer)
+		return s.forwardStream(a)
 	default:
-		return s.forwardWhole(ctx, placement, answer)
+		return s.forwardWhole(a)
 	}
 }
 
-// continues reports whether an answer may go on with the stream that the caller has a part of.
-func (s *requestState) continues(answer *Answer) bool {
-	return answer.Status == http.StatusOK && answer.Header.Get("Content-Type") == s.w.Header().Get("Content-Type")
+// continues reports whether an answer may go on with a stream of the given content type that the caller has a part of.
+func continues(answer *Answer, contentType string) bool {
+	return answer.Status == http.StatusOK && answer.Header.Get("Content-Type") == contentType
+}
+
+// notContinued is the error for an answer that does not go on with a stream.
+func notContinued(answer *Answer) error {
+	return &Error{Op: "resume", Kind: Mismatched, Err: eris.Errorf("status %d, type %q", answer.Status, answer.Header.Get("Content-Type"))}
 }
 
 // impliesNotRun reports whether a caller takes a status to mean that its request has not run. Such a status is forwarded
@@ -96,70 +152,6 @@
 	}
 }
 
-// watchedAttempt is an attempt that is cancelled if its target goes down.
-type watchedAttempt struct {
-	targetDown, ended <-chan struct{} // closed when the target or a helper is reported down, and when the attempt has ended
-	mayRetry          bool            // the request may be sent once more
-	holdsMemory       bool            // the attempt has memory reserved
-}
-
-// cancelIfTargetDown cancels an attempt whose target is reported down, once the target has sent nothing for stallTimeout
-// and the budget allows a retry. An attempt whose target still sends may finish. An attempt with reserved memory is
-// cancelled even if no retry is allowed, so that the memory is not kept for a target that is down.
-func (s *requestState) cancelIfTargetDown(watched watchedAttempt, cancel context.CancelFunc) {
-	select {
-	case <-watched.ended:
-		return
-	case <-watched.targetDown:
-	}
-	ticker := time.NewTicker(stallCheckInterval.Duration())
-	defer ticker.Stop()
-	for {
-		if clock.Now()-clock.Millis(s.lastProgress.Load()) > stallTimeout && s.abandon(Stalled, watched, cancel) {
-			return
-		}
-		select {
-		case <-watched.ended:
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-// abandon cancels an attempt as a failure of the given kind if a retry is allowed or if it has reserved memory, and
-// reports whether it did.
-func (s *requestState) abandon(kind ErrorKind, watched watchedAttempt, cancel context.CancelFunc) bool {
-	retry := watched.mayRetry && s.relay.Budget(s.Service).TakeRetry()
-	if !retry && !watched.holdsMemory {
-		return false
-	}
-	s.retryReserved.Store(retry)
-	s.abandoned.Store(&kind)
-	cancel()
-	return true
-}
-
-// cancelIfMemoryIdle cancels an attempt that has got no event by the idle limit of its leases, if the engines say that the memory
-// is not in use: its target does not work on the prompt, and others cannot use the memory.
-func (s *requestState) cancelIfMemoryIdle(leases *ticket.LeaseSet, startedAt int64, watched watchedAttempt, cancel context.CancelFunc) {
-	timer := time.NewTimer(s.relay.Tickets.IdleLimit().Duration())
-	defer timer.Stop()
-	select {
-	case <-watched.ended:
-		return
-	case <-timer.C:
-	}
-	if s.lastProgress.Load() != startedAt || !leases.Idle(s.ctx) {
-		return
-	}
-	select {
-	case <-watched.ended:
-	default:
-		slog.Info("attempt abandoned, its leased memory is not used", "request", s.ID)
-		s.abandon(MemoryIdle, watched, cancel)
-	}
-}
-
 // reserveMemory reserves the memory that a placement needs on its engines; it returns nil if it needs none.
 func (s *requestState) reserveMemory(ctx context.Context, p *board.Placement) (*ticket.LeaseSet, error) {
 	engines := p.Leased()
@@ -173,43 +165,76 @@
 	return s.relay.Tickets.Acquire(ctx, leases)
 }
 
-// handleFailure reports a failed attempt to the board, logs it, and returns an empty outcome and whether another target
-// may be tried.
-func (s *requestState) handleFailure(ctx context.Context, p *board.Placement, err error) (string, bool) {
-	kind := KindOf(err)
-	if why := s.abandoned.Swap(nil); why != nil {
-		kind, ctx = *why, s.ctx
+// handleNotRun reports to the board that a target, or a helper that it names, has rejected the request.
+func (s *requestState) handleNotRun(a *attempt) (string, followUp) {
+	if helper := endNotRun(a); helper != "" {
+		s.exclude[helper] = true
+	}
+	countFailedAttempt("not_run")
+	return "", budgetedFollowUp
+}
+
+// endNotRun ends the placement of an attempt that was rejected. It returns the helper because of which it was, if there is one.
+func endNotRun(a *attempt) (helper string) {
+	helper = a.placement.FindHelper(a.answer.FaultyTarget)
+	if helper == "" {
+		a.placement.End(board.Failed)
+		return ""
+	}
+	a.placement.MarkHelperUnreachable(helper)
+	a.placement.End(board.Inconclusive)
+	return helper
+}
+
+// handleFailure reports a failed attempt to the board, logs it, and returns an empty outcome and what may follow.
+func (s *requestState) handleFailure(a *attempt, err error) (string, followUp) {
+	kind, ctx := KindOf(err), a.ctx
+	if why := s.endedHere(); why != "" {
+		kind, ctx = why, s.ctx
 	}
-	slog.Info("attempt failed", "request", s.ID, "target", p.Target.ID, "kind", kind, "error", err.Error(), "ended", ctx.Err() != nil,
-		"silent_ms", int64(clock.Now())-s.lastProgress.Load(), "events", s.eventsForwarded-s.eventsBefore, "parts", s.SharedParts)
+	s.logFailure(a, kind, err)
 	if kind == NotSent {
-		s.unreachableTargets++
-		if ctx.Err() != nil {
-			p.End(board.Inconclusive)
-			return "", true
-		}
-		p.End(board.Unreachable)
-		countFailedAttempt("unreachable")
-		return "", s.unreachableTargets <= maxUnreachableTargets
+		return s.handleNotSent(a)
 	}
 	s.mayHaveRun = true
 	if ctx.Err() != nil {
-		p.End(board.Inconclusive)
-		return "", false
+		a.placement.End(board.Inconclusive)
+		return "", noFollowUp
 	}
-	if !s.answering && (kind == Broken || kind == Stalled) {
-		s.relay.Blame.RecordCrash(s.SharedParts, p.Target.ID)
+	if !s.answering && kind == Broken {
+		s.relay.Blame.RecordCrash(s.SharedParts, a.placement.Target.ID)
 	}
-	p.End(board.Failed)
+	a.placement.End(board.Failed)
 	countFailedAttempt(string(kind))
-	return "", s.retryable() && s.takeRetry()
+	if !s.retryable() {
+		return "", noFollowUp
+	}
+	return "", budgetedFollowUp
+}
+
+// handleNotSent reports to the board that a target was not reached, unless the request has ended meanwhile.
+func (s *requestState) handleNotSent(a *attempt) (string, followUp) {
+	s.unreachableTargets++
+	if a.ctx.Err() != nil {
+		a.placement.End(board.Inconclusive)
+		return "", freeFollowUp
+	}
+	a.placement.End(board.Unreachable)
+	countFailedAttempt("unreachable")
+	if s.unreachableTargets > maxUnreachableTargets {
+		return "", noFollowUp
+	}
+	return "", freeFollowUp
+}
+
+// logFailure logs an attempt that has failed, or that was ended here.
+func (s *requestState) logFailure(a *attempt, kind ErrorKind, err error) {
+	slog.Info("attempt failed", "request", s.ID, "target", a.placement.Target.ID, "kind", kind, "error", err.Error(), "ended", s.ctx.Err() != nil,
+		"silent_ms", int64(clock.Now()-s.progressAt), "events", s.eventsForwarded-s.eventsBefore, "parts", s.SharedParts)
 }
 
 // takeRetry reports whether the request may be sent to one more target, and deducts the retry from the budget.
 func (s *requestState) takeRetry() bool {
-	if s.retryReserved.Swap(false) {
-		return true
-	}
 	if s.attemptsSent >= max(s.MaxAttempts, 1) {
 		return false
 	}
@@ -220,82 +245,6 @@
 	return true
 }
 
-// handleServerError handles an answer with a 5xx status: the request is retried if that is allowed, and otherwise the error
-// is forwarded, unless it is too long to be kept.
-func (s *requestState) handleServerError(p *board.Placement, answer *Answer) (string, bool) {
-	body, whole, err := readBuffered(answer.Body)
-	p.End(board.Failed)
-	if s.retryable() && s.takeRetry() {
-		countFailedAttempt("error_answer")
-		return "", true
-	}
-	if err != nil || !whole || s.responseStarted {
-		return "", false
-	}
-	s.writeAnswer(answer, body)
-	return "error", false
-}
-
-// recordAnswering records that the engine of the current attempt answers the prompt, so that no part of it is fatal.
-func (s *requestState) recordAnswering() {
-	if !s.answering {
-		s.answering = true
-		s.relay.Blame.RecordAnswer(s.SharedParts)
-	}
-}
-
-// readBuffered reads the first maxBufferedBytes of a body, and reports whether that is the whole body.
-func readBuffered(body io.Reader) (data []byte, whole bool, err error) {
-	data, err = io.ReadAll(io.LimitReader(body, maxBufferedBytes+1))
-	return data, len(data) <= maxBufferedBytes, err
-}
-
-// forwardWhole forwards an answer that is not a stream. A short one is read completely before.
-func (s *requestState) forwardWhole(ctx context.Context, p *board.Placement, answer *Answer) (string, bool) {
-	if length, err := strconv.Atoi(answer.Header.Get("Content-Length")); err == nil && length > maxAnswerBytes {
-		return s.handleFailure(ctx, p, &Error{Op: "read", Kind: Broken, Err: eris.Errorf("answer of %d bytes is too long", length)})
-	}
-	body, whole, err := readBuffered(answer.Body)
-	if err != nil {
-		return s.handleFailure(ctx, p, &Error{Op: "read", Kind: Broken, Err: err})
-	}
-	s.mayHaveRun = true
-	s.timeToFirstEvent = clock.Now() - s.Arrived
-	if !whole {
-		return s.forwardLarge(p, answer, body)
-	}
-	if answer.Status == http.StatusOK {
-		s.recordAnswering()
-	}
-	p.End(board.Succeeded)
-	s.writeAnswer(answer, body)
-	return "answered", false
-}
-
-// forwardLarge forwards an answer as it arrives, after its first part. If it breaks or is too long, the connection to the
-// caller is closed.
-func (s *requestState) forwardLarge(p *board.Placement, answer *Answer, first []byte) (string, bool) {
-	s.responseStarted = true
-	s.writeAnswer(answer, first)
-	limit := int64(maxAnswerBytes - len(first))
-	copied, err := io.Copy(s.w, io.LimitReader(answer.Body, limit))
-	if err == nil && copied < limit {
-		p.End(board.Succeeded)
-		return "answered", false
-	}
-	slog.Info("answer not complete", "request", s.ID, "target", p.Target.ID, "bytes", copied, "error", err)
-	p.End(board.Failed)
-	countFailedAttempt("incomplete_answer")
-	return s.abort("incomplete_answer"), false
-}
-
-// writeAnswer sends an answer of a target, with the given body, to the caller.
-func (s *requestState) writeAnswer(answer *Answer, body []byte) {
-	copyHeader(s.w.Header(), answer.Header)
-	s.w.WriteHeader(answer.Status)
-	_, _ = s.w.Write(body)
-}
-
 // helperFailed reports whether a helper of the placement, and not its primary target, caused the failure.
 func (s *requestState) helperFailed(p *board.Placement) bool {
 	return slices.ContainsFunc(p.Helpers, func(h board.Target) bool { return s.exclude[h.ID] })
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
@@ -20,8 +19,9 @@
 	maxAnswerBytes         = 16 << 20               // of an answer that is not a stream; a longer one fails
 	maxBufferedBytes       = 64 << 10               // of such an answer that are read before the caller gets any, so that it may be retried
 	maxUnreachableTargets  = 3                      // targets of a request that may prove unreachable without counting as attempts
-	stallTimeout           = 1200 * clock.Millis(1) // without an event, after which an attempt at a target that is reported down is cancelled
+	stallTimeout           = 1200 * clock.Millis(1) // without an event, after which another target is asked beside one that is reported down
 	stallCheckInterval     = 200 * clock.Millis(1)
+	hedgeInterval          = 600 * clock.Millis(1) // after a hedge that failed, or could not be had, until the next one
 	maxReservationFailures = 3                     // failures to reserve memory after which a request is refused
 	answeringAfter         = 200 * clock.Millis(1) // after the first event of an attempt, by when an engine has crashed if a part of the prompt is fatal
 	minTimeLeft            = 20 * clock.Millis(1)  // before the deadline; a request with less time left is refused
@@ -49,29 +49,24 @@
 // requestState is the state of one request across its attempts.
 type requestState struct {
 	Request
+	sharedProgress
 	ctx                 context.Context // of the whole request
 	relay               *Relay
 	w                   http.ResponseWriter
-	exclude             map[string]bool           // ids of targets to avoid, see board.Requirements.Exclude
-	attemptsSent        int                       // attempts that reached their target, or may have
-	unreachableTargets  int                       // attempts whose target was not reached
-	reservationFailures int                       // attempts whose memory could not be reserved
-	mayHaveRun          bool                      // a target may have run the request
-	responseStarted     bool                      // the status and header have been sent to the caller
-	numbered            bool                      // an event with an id has been forwarded to the caller, so that the stream can be resumed
-	abortConn           bool                      // close the connection to the caller, because the answer is incomplete
-	abandoned           atomic.Pointer[ErrorKind] // why the current attempt was cancelled here; nil if it was not
-	retryReserved       atomic.Bool               // the next attempt is already deducted from the retry budget
-	lastEventID         int                       // of the last event forwarded to the caller
-	eventsForwarded     int                       // number of events forwarded to the caller
-	eventsBefore        int                       // number of events forwarded by earlier attempts
-	answering           bool                      // the target of the current attempt answers it, see answeringAfter
-	target              string                    // id of the target of the current attempt
-	rateLimit           *float64                  // that the target named in its last answer
+	exclude             map[string]bool // ids of targets to avoid, see board.Requirements.Exclude
+	attemptsSent        int             // attempts that reached their target, or may have
+	unreachableTargets  int             // attempts whose target was not reached
+	reservationFailures int             // attempts whose memory could not be reserved
+	mayHaveRun          bool            // a target may have run the request
+	abortConn           bool            // close the connection to the caller, because the answer is incomplete
+	eventsForwarded     int             // number of events forwarded to the caller
+	eventsBefore        int             // number of events forwarded by earlier attempts
+	answering           bool            // the target of the current attempt answers it, see answeringAfter
+	target              string          // id of the target of the current attempt
+	rateLimit           *float64        // that the target named in its last answer
 	predictedFirstEvent clock.Millis
 	timeToFirstEvent    clock.Millis // since the request arrived
 	helpers             []string     // ids of targets that prefill a part of the prompt
-	lastProgress        atomic.Int64 // time of the last event, or of the start of the attempt, in milliseconds
 	longestGap          clock.Millis // between two events
 }
 
@@ -83,7 +78,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline().Time())
 	defer cancel()
-	s := &requestState{Request: r, ctx: ctx, relay: rl, w: w, exclude: make(map[string]bool), lastEventID: r.LastEventID}
+	s := &requestState{Request: r, ctx: ctx, relay: rl, w: w, exclude: make(map[string]bool)}
+	s.lastEventID = r.LastEventID
 	rl.Budget(r.Service).RecordRequest()
 	s.recordOutcome(s.serve(ctx))
 	if s.abortConn {
@@ -91,11 +87,8 @@
 	}
 }
 
-// retryable reports whether the request may be sent again after a target may have run it. A stream that the caller has a part
-// of must have got to an event with an id, from which another target can go on.
-func (s *requestState) retryable() bool {
-	return s.Request.retryable() && (!s.responseStarted || s.numbered)
-}
+// retryable reports whether the request may be sent again after a target may have run it.
+func (s *requestState) retryable() bool { return s.resumes(s.progress) }
 
 // recordOutcome updates the metrics and logs the request with its outcome.
 func (s *requestState) recordOutcome(outcome string) {
@@ -128,7 +121,6 @@
 		if err != nil {
 			return s.refuseUnplaced(err)
 		}
-		s.target, s.predictedFirstEvent, s.helpers = p.Target.ID, p.PredictedFirstEvent, p.HelperIDs()
 		outcome, tryNext := s.tryTarget(ctx, p)
 		if outcome != "" {
 			return outcome
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -49,6 +49,10 @@
 // retryable reports whether the request may be sent again after a target may have run it.
 func (r Request) retryable() bool { return r.Kind == Idempotent || r.Kind == Stream && r.Resumable }
 
+// resumes reports whether another target may go on with an answer that has got so far. A stream that the caller has a part of must
+// have got to an event with an id.
+func (r Request) resumes(p progress) bool { return r.retryable() && (!p.responseStarted || p.numbered) }
+
 // placementRequirements returns what the board needs to know to place the next attempt; exclude are ids of targets.
 func (r Request) placementRequirements(exclude map[string]bool) board.Requirements {
 	now := clock.Now()
--- /dev/null
+++ b/internal/relay/whole.go
@@ -0,0 +1,91 @@
+package relay
+
+import (
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/corianderpier/corianderpier/internal/board"
+	"github.com/corianderpier/corianderpier/internal/clock"
+)
+
+// handleServerError handles an answer with a 5xx status: the request is retried if that is allowed, and otherwise the error
+// is forwarded, unless it is too long to be kept.
+func (s *requestState) handleServerError(a *attempt) (string, followUp) {
+	body, whole, err := readBuffered(a.answer.Body)
+	a.placement.End(board.Failed)
+	if s.retryable() && s.takeRetry() {
+		countFailedAttempt("error_answer")
+		return "", freeFollowUp
+	}
+	if err != nil || !whole || s.responseStarted {
+		return "", noFollowUp
+	}
+	s.writeAnswer(a.answer, body)
+	return "error", noFollowUp
+}
+
+// readBuffered reads the first maxBufferedBytes of a body, and reports whether that is the whole body.
+func readBuffered(body io.Reader) (data []byte, whole bool, err error) {
+	data, err = io.ReadAll(io.LimitReader(body, maxBufferedBytes+1))
+	return data, len(data) <= maxBufferedBytes, err
+}
+
+// forwardWhole forwards an answer that is not a stream. A short one is read completely before.
+func (s *requestState) forwardWhole(a *attempt) (string, followUp) {
+	if length, err := strconv.Atoi(a.answer.Header.Get("Content-Length")); err == nil && length > maxAnswerBytes {
+		return s.handleFailure(a, &Error{Op: "read", Kind: Broken, Err: eris.Errorf("answer of %d bytes is too long", length)})
+	}
+	body, whole, err := readBuffered(a.answer.Body)
+	if err != nil {
+		return s.handleFailure(a, &Error{Op: "read", Kind: Broken, Err: err})
+	}
+	if !s.advance(func(p *progress) { p.responseStarted = !whole }) {
+		return s.handleFailure(a, errReplaced)
+	}
+	s.mayHaveRun = true
+	s.timeToFirstEvent = clock.Now() - s.Arrived
+	if !whole {
+		return s.forwardLarge(a, body)
+	}
+	if a.answer.Status == http.StatusOK {
+		s.recordAnswering()
+	}
+	a.placement.End(board.Succeeded)
+	s.writeAnswer(a.answer, body)
+	return "answered", noFollowUp
+}
+
+// forwardLarge forwards an answer as it arrives, after its first part. If it breaks or is too long, the connection to the
+// caller is closed.
+func (s *requestState) forwardLarge(a *attempt, first []byte) (string, followUp) {
+	s.writeAnswer(a.answer, first)
+	limit := int64(maxAnswerBytes - len(first))
+	copied, err := io.Copy(s.w, io.LimitReader(a.answer.Body, limit))
+	if err == nil && copied < limit {
+		a.placement.End(board.Succeeded)
+		return "answered", noFollowUp
+	}
+	slog.Info("answer not complete", "request", s.ID, "target", a.placement.Target.ID, "bytes", copied, "error", err)
+	a.placement.End(board.Failed)
+	countFailedAttempt("incomplete_answer")
+	return s.abort("incomplete_answer"), noFollowUp
+}
+
+// writeAnswer sends an answer of a target, with the given body, to the caller.
+func (s *requestState) writeAnswer(answer *Answer, body []byte) {
+	copyHeader(s.w.Header(), answer.Header)
+	s.w.WriteHeader(answer.Status)
+	_, _ = s.w.Write(body)
+}
+
+// recordAnswering records that the engine of the current attempt answers the prompt, so that no part of it is fatal.
+func (s *requestState) recordAnswering() {
+	if !s.answering {
+		s.answering = true
+		s.relay.Blame.RecordAnswer(s.SharedParts)
+	}
+}
