relay: Place streams that have begun by the time since their last event

Callers saw: streams that had gone on for a few seconds and whose engine broke them off or fell silent were cut as costly, although other engines were idle.

Cause: a retry and a hedge were placed by the time since the request's arrival, as if its first event were still due, so that after some seconds nothing was worth its cost. A caller that has a part waits for the next event.

Evidence: TestOldStreamResumes, a stream of three seconds, failed before and passes.

--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -153,7 +153,7 @@
 	if _, quarantined := s.relay.Blame.Quarantined(s.SharedParts); quarantined {
 		return nil
 	}
-	placement, err := s.relay.Place(s.placementRequirements(w.exclude))
+	placement, err := s.relay.Place(s.placementRequirements(since, w.exclude))
 	if err != nil {
 		countHedge(string(refusalReason(err)))
 		return nil
--- a/internal/relay/progress.go
+++ b/internal/relay/progress.go
@@ -12,6 +12,7 @@
 // progress is how far the answer to a request has got.
 type progress struct {
 	steps           int          // answers and events forwarded, counted over all attempts
+	stepAt          clock.Millis // time of the last step
 	progressAt      clock.Millis // time of the last step, or of the start of the attempt
 	lastEventID     int          // of the last event forwarded to the caller
 	numbered        bool         // an event with an id has been forwarded to the caller, so that the stream can be resumed
@@ -51,7 +52,8 @@
 		return false
 	}
 	s.steps++
-	s.progressAt = clock.Now()
+	s.stepAt = clock.Now()
+	s.progressAt = s.stepAt
 	change(&s.progress)
 	return true
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -117,7 +117,7 @@
 		if wait, quarantined := s.relay.Blame.Quarantined(s.SharedParts); quarantined {
 			return s.refuseFor(Quarantined, wait)
 		}
-		p, err := s.relay.Place(s.placementRequirements(s.exclude))
+		p, err := s.relay.Place(s.placementRequirements(s.progress, s.exclude))
 		if err != nil {
 			return s.refuseUnplaced(err)
 		}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -53,12 +53,16 @@
 // have got to an event with an id.
 func (r Request) resumes(p progress) bool { return r.retryable() && (!p.responseStarted || p.numbered) }
 
-// placementRequirements returns what the board needs to know to place the next attempt; exclude are ids of targets.
-func (r Request) placementRequirements(exclude map[string]bool) board.Requirements {
-	now := clock.Now()
+// placementRequirements returns what the board needs to know to place the next attempt, when the answer has got so far; exclude are
+// ids of targets. Once a stream has begun, its caller waits for the next event since the last one.
+func (r Request) placementRequirements(p progress, exclude map[string]bool) board.Requirements {
+	now, waitingSince := clock.Now(), r.Arrived
+	if p.responseStarted {
+		waitingSince = p.stepAt
+	}
 	return board.Requirements{
 		ID: r.ID, Service: r.Service, PromptTokens: r.PromptTokens, MaxOutputTokens: r.MaxOutputTokens,
-		FirstEventSLO: r.FirstEventSLO, EventGapSLO: r.EventGapSLO, Elapsed: now - r.Arrived, Deadline: r.deadline(), Exclude: exclude,
+		FirstEventSLO: r.FirstEventSLO, EventGapSLO: r.EventGapSLO, Elapsed: now - waitingSince, Deadline: r.deadline(), Exclude: exclude,
 	}
 }
 
--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -124,8 +124,8 @@
 	}
 	got = httptest.NewRecorder()
 	r.ID, r.Service, r.Arrived, r.MaxAttempts = "r", "desk", clock.Now(), 2
-	r.PromptTokens, r.MaxOutputTokens, r.FirstEventSLO, r.EventGapSLO = 1000, 100, 5*clock.Second, 250
-	r.Deadline = r.Arrived + 10*clock.Second
+	r.PromptTokens, r.MaxOutputTokens, r.FirstEventSLO, r.EventGapSLO = 1000, 100, cmp.Or(r.FirstEventSLO, 5*clock.Second), 250
+	r.Deadline = clock.Now() + 10*clock.Second
 	r.OperatorDeadline = r.Deadline
 	defer func() { aborted = recover() != nil }()
 	relay.Serve(ctx, got, r)
@@ -226,6 +226,30 @@
 	}
 }
 
+// Guards against: a stream that has gone on for longer than callers wait for a first event is cut when its engine breaks it off, as
+// the request counts as late, although other engines are idle.
+func TestOldStreamResumes(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := &silentSite{next: func(_ context.Context, lastEventID int) (*Answer, error) {
+		return answerWith(200, eventsBetween(lastEventID+1, 6))(Request{}, 0)
+	}}
+	s.first = func(context.Context, string, string) *Answer {
+		body, w := io.Pipe()
+		go func() {
+			for id := 1; id <= 3; id++ {
+				time.Sleep(time.Second)
+				_, _ = io.WriteString(w, eventsBetween(id, id))
+			}
+			_ = w.CloseWithError(eris.New("connection reset"))
+		}()
+		return &Answer{Status: http.StatusOK, Header: http.Header{}, Body: body}
+	}
+	got, aborted := s.serve(t, Request{Kind: Stream, Resumable: true, FirstEventSLO: 50}, "", "", nil)
+	is.True(!aborted)
+	is.Equal(got.Body.String(), eventsBetween(1, 6))
+}
+
 // A stream that no other engine may go on with stays at its engine, however long that is silent.
 func TestSilentEngineOfOtherRequests(t *testing.T) {
 	t.Parallel()
