relay: Ask another engine beside a silent one later, shortly before callers leave

Callers saw: other prompts delayed by hedges for engines that went on a moment later.

Cause: a sound engine is silent for a second or so, and a hedge began after 1.2 s. Callers leave a stream after two seconds without an event, so a hedge may begin later and still be in time.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,7 +19,7 @@
 	maxAnswerBytes         = 16 << 20               // of an answer that is not a stream; a longer one fails
 	maxBufferedBytes       = 64 << 10               // of such an answer that are read before the caller gets any, so that it may be retried
 	maxUnreachableTargets  = 3                      // targets of a request that may prove unreachable without counting as attempts
-	stallTimeout           = 1200 * clock.Millis(1) // without an event, after which another target is asked beside one that is reported down
+	stallTimeout           = 1600 * clock.Millis(1) // without an event, after which another target is asked beside one that is reported down
 	stallCheckInterval     = 200 * clock.Millis(1)
 	hedgeInterval          = 600 * clock.Millis(1) // after a hedge that failed, or could not be had, until the next one
 	maxReservationFailures = 3                     // failures to reserve memory after which a request is refused
