relay: End a hedge once the silent engine goes on

Callers saw: a stream stays open without an event until its deadline, and is cut. Its engine was silent, went on, and then broke.

Cause: a hedge asks for the event that the caller lacked when it was sent. Once the silent engine goes on, its answer can only be dropped; still it ran to its first event, and the end of the attempt waited for it before any retry. Beside this, the other engine prefilled the prompt in vain.

Change: the next step of the attempt cancels the hedge.

--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -120,6 +120,7 @@
 		countHedge("no_memory")
 		return
 	}
+	s.whenAdvanced(since, hedge.cancel) // it can no longer go on with the answer then
 	err = hedge.send(s.relay, s.Request, since.lastEventID)
 	if sent(err) {
 		w.left--
--- /dev/null
+++ b/internal/relay/hedged_test.go
@@ -0,0 +1,53 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// hung answers an attempt at an engine that never goes on.
+func hung(ctx context.Context) (*Answer, error) {
+	<-ctx.Done()
+	return nil, &Error{Op: "send", Kind: Broken, Err: ctx.Err()}
+}
+
+// breakingAfter answers with a first part, sends nothing for longer than stallTimeout after a failed probe, sends the rest and breaks.
+func breakingAfter(pause time.Duration) func(ctx context.Context, first, rest string) *Answer {
+	return func(ctx context.Context, first, rest string) *Answer {
+		body, w := io.Pipe()
+		go func() {
+			_, _ = io.WriteString(w, first)
+			select {
+			case <-ctx.Done():
+			case <-time.After(pause):
+				_, _ = io.WriteString(w, rest)
+			}
+			_ = w.CloseWithError(io.ErrUnexpectedEOF)
+		}()
+		return &Answer{Status: http.StatusOK, Header: http.Header{}, Body: body}
+	}
+}
+
+// Guards against: a stream whose silent engine goes on and then breaks waits for a hedge that can no longer go on with it.
+func TestHedgeOvertakenNotAwaited(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := &silentSite{maxAttempts: 3, first: breakingAfter(silence)}
+	s.next = func(ctx context.Context, lastEventID int) (*Answer, error) {
+		if lastEventID == 2 {
+			return hung(ctx)
+		}
+		return answerWith(200, eventsBetween(lastEventID+1, 6))(Request{}, 0)
+	}
+	began := time.Now()
+	got, aborted := s.serve(t, resumable, eventsBetween(1, 2), eventsBetween(3, 4), nil)
+	is.True(!aborted)
+	is.Equal(got.Body.String(), eventsBetween(1, 6))
+	is.Equal(s.lastEventIDs, []int{0, 2, 4})
+	is.True(time.Since(began) < silence+time.Second)
+}
--- a/internal/relay/progress.go
+++ b/internal/relay/progress.go
@@ -34,14 +34,15 @@
 type sharedProgress struct {
 	mu sync.Mutex
 	progress
-	endedFor ErrorKind // why the current attempt was ended here; empty if it was not
+	endedFor  ErrorKind // why the current attempt was ended here; empty if it was not
+	onAdvance func()    // called at the next step; nil for nothing
 }
 
 // beginAttempt records the start of an attempt.
 func (s *sharedProgress) beginAttempt() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.progressAt, s.endedFor = clock.Now(), ""
+	s.progressAt, s.endedFor, s.onAdvance = clock.Now(), "", nil
 }
 
 // advance records a step of the current attempt. It reports false, and changes nothing, if the attempt was ended here.
@@ -54,10 +55,25 @@
 	s.steps++
 	s.stepAt = clock.Now()
 	s.progressAt = s.stepAt
+	if s.onAdvance != nil {
+		s.onAdvance()
+		s.onAdvance = nil
+	}
 	change(&s.progress)
 	return true
 }
 
+// whenAdvanced calls a function once the current attempt has made a step since a snapshot.
+func (s *sharedProgress) whenAdvanced(since progress, call func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.steps != since.steps {
+		call()
+		return
+	}
+	s.onAdvance = call
+}
+
 // snapshot returns the progress for a goroutine other than that of the attempt.
 func (s *sharedProgress) snapshot() progress {
 	s.mu.Lock()
@@ -72,7 +88,7 @@
 	if s.steps != since.steps || s.endedFor != "" {
 		return false
 	}
-	s.endedFor = why
+	s.endedFor, s.onAdvance = why, nil
 	return true
 }
 
--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -4,8 +4,11 @@
 	"cmp"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -50,17 +53,22 @@
 	retries     int                                                   // allowed by the budget; zero for enough
 	budgetTaken int                                                   // retries that are taken from the budget before
 	tickets     *ticket.Manager
+	engines     int // zero for three
+	maxAttempts int // of the request; zero for two
+	hangs       int // engines that do not answer probes, the first ones that are asked; zero for one
+	lateStatus  int // with which the first engine answers after it was silent; zero for an answer that begins at once
 
 	mu           sync.Mutex
-	silent       string        // id of the silent engine; empty before the first attempt
-	lastEventIDs []int         // of all attempts
-	firstEnded   chan struct{} // closed when the first attempt has ended
+	targets      []string          // ids of the engines that were asked
+	excluded     []map[string]bool // that the placements were to avoid
+	lastEventIDs []int             // of all attempts
+	firstEnded   chan struct{}     // closed when the first attempt has ended
 }
 
 func (s *silentSite) probe(_ context.Context, t board.Target) (board.Report, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t.ID == s.silent {
+	if i := slices.Index(s.targets, t.ID); i >= 0 && i < max(s.hangs, 1) {
 		return board.Report{}, eris.New("no answer")
 	}
 	return board.Report{Slowdown: 1}, nil
@@ -70,14 +78,16 @@
 func (s *silentSite) send(first, rest string) func(context.Context, Request, *board.Placement, int) (*Answer, error) {
 	return func(ctx context.Context, _ Request, p *board.Placement, lastEventID int) (*Answer, error) {
 		s.mu.Lock()
-		begun := s.silent != ""
-		if !begun {
-			s.silent = p.Target.ID
-		}
+		begun := len(s.targets) > 0
+		s.targets = append(s.targets, p.Target.ID)
 		s.lastEventIDs = append(s.lastEventIDs, lastEventID)
 		s.mu.Unlock()
 		if !begun {
 			context.AfterFunc(ctx, func() { close(s.firstEnded) })
+			if s.lateStatus != 0 {
+				time.Sleep(silence)
+				return answerWith(s.lateStatus, rest)(Request{}, 0)
+			}
 			if s.first != nil {
 				return s.first(ctx, first, rest), nil
 			}
@@ -102,7 +112,11 @@
 	b.Init()
 	go func() { _ = b.Loop.Run(ctx) }()
 	go func() { _ = b.Run(ctx) }()
-	b.ReplaceTargets([]board.Target{{ID: "one", Service: "desk", Slots: 16}, {ID: "two", Service: "desk", Slots: 16}, {ID: "three", Service: "desk", Slots: 16}}, board.ListTrust{})
+	var engines []board.Target
+	for n := range cmp.Or(s.engines, 3) {
+		engines = append(engines, board.Target{ID: "engine-" + strconv.Itoa(n), Service: "desk", Slots: 16})
+	}
+	b.ReplaceTargets(engines, board.ListTrust{})
 	extra := float64(cmp.Or(s.retries, 10))
 	budget := &retry.Budget{Limits: func() retry.Limits { return retry.Limits{Extra: extra, Window: clock.Minute} }, Now: clock.Now}
 	for range s.budgetTaken {
@@ -111,6 +125,9 @@
 	placed := false
 	relay := &Relay{
 		Place: func(req board.Requirements) (*board.Placement, error) {
+			s.mu.Lock()
+			s.excluded = append(s.excluded, maps.Clone(req.Exclude))
+			s.mu.Unlock()
 			if placed && place != nil {
 				return place(req)
 			}
@@ -123,9 +140,9 @@
 		Refuse:     func(w http.ResponseWriter, _ Request, _ Refusal) { w.WriteHeader(http.StatusBadGateway) },
 	}
 	got = httptest.NewRecorder()
-	r.ID, r.Service, r.Arrived, r.MaxAttempts = "r", "desk", clock.Now(), 2
+	r.ID, r.Service, r.Arrived, r.MaxAttempts = "r", "desk", clock.Now(), cmp.Or(s.maxAttempts, 2)
 	r.PromptTokens, r.MaxOutputTokens, r.FirstEventSLO, r.EventGapSLO = 1000, 100, cmp.Or(r.FirstEventSLO, 5*clock.Second), 250
-	r.Deadline = clock.Now() + 10*clock.Second
+	r.Deadline = r.Arrived + 10*clock.Second
 	r.OperatorDeadline = r.Deadline
 	defer func() { aborted = recover() != nil }()
 	relay.Serve(ctx, got, r)
