relay: Decide on a retry after an error answer when the hedge is known

Cause: handleServerError took a retry at once, unlike the other failures, before the hedge beside the attempt was counted or awaited. With the budget spent by the hedge, it forwarded the error and cancelled the hedge; otherwise it paid twice, and a third attempt followed where two are allowed.

Evidence, before: TestHedgeKeptAfterServerError got 500 for 200, TestHedgeCountsAsAttempt 3 attempts for 2.

Change: the error is kept, and forwarded when neither a hedge nor a retry follows. error_answer now counts all such answers to requests that may be repeated.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -94,8 +94,10 @@
 			current = hedge
 		case outcome != "" || next == noFollowUp:
 			return outcome, false
+		case next == freeFollowUp || s.takeRetry():
+			return "", true
 		default:
-			return "", next == freeFollowUp || s.takeRetry()
+			return s.forwardServerError(), false
 		}
 	}
 }
@@ -103,7 +105,7 @@
 // runAttempt sends the request, unless that is done, and forwards the answer.
 func (s *requestState) runAttempt(a *attempt) (outcome string, next followUp) {
 	s.target, s.predictedFirstEvent, s.helpers = a.placement.Target.ID, a.placement.PredictedFirstEvent, a.placement.HelperIDs()
-	s.eventsBefore, s.answering = s.eventsForwarded, false
+	s.eventsBefore, s.answering, s.serverError = s.eventsForwarded, false, nil
 	if a.answer == nil {
 		err := a.send(s.relay, s.Request, s.lastEventID)
 		if sent(err) {
--- a/internal/relay/hedged_test.go
+++ b/internal/relay/hedged_test.go
@@ -51,3 +51,30 @@
 	is.Equal(s.lastEventIDs, []int{0, 2, 4})
 	is.True(time.Since(began) < silence+time.Second)
 }
+
+// Guards against: a request is sent to more targets than it has attempts, as its silent target answers with an error while
+// another one is asked.
+func TestHedgeCountsAsAttempt(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := &silentSite{lateStatus: 500, next: func(context.Context, int) (*Answer, error) {
+		time.Sleep(silence)
+		return answerWith(500, "error")(Request{}, 0)
+	}}
+	_, _ = s.serve(t, Request{Kind: Idempotent}, "", "error", nil)
+	is.Equal(len(s.lastEventIDs), 2) // MaxAttempts of silentSite
+}
+
+// Guards against: a hedge that the budget has paid for is dropped, as its silent target answers with an error and no further retry
+// is left.
+func TestHedgeKeptAfterServerError(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := &silentSite{retries: 1, lateStatus: 500, next: func(ctx context.Context, lastEventID int) (*Answer, error) {
+		return pausing(ctx, "", silence, eventsBetween(lastEventID+1, 6)), nil
+	}}
+	got, aborted := s.serve(t, Request{Kind: Idempotent}, "", "error", nil)
+	is.True(!aborted)
+	is.Equal(got.Code, http.StatusOK)
+	is.Equal(got.Body.String(), eventsBetween(1, 6))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,6 +61,7 @@
 	abortConn           bool            // close the connection to the caller, because the answer is incomplete
 	eventsForwarded     int             // number of events forwarded to the caller
 	eventsBefore        int             // number of events forwarded by earlier attempts
+	serverError         *serverError    // that the current attempt got; nil if there is none to forward
 	answering           bool            // the target of the current attempt answers it, see answeringAfter
 	target              string          // id of the target of the current attempt
 	rateLimit           *float64        // that the target named in its last answer
--- a/internal/relay/whole.go
+++ b/internal/relay/whole.go
@@ -12,20 +12,34 @@
 	"github.com/corianderpier/corianderpier/internal/clock"
 )
 
-// handleServerError handles an answer with a 5xx status: the request is retried if that is allowed, and otherwise the error
-// is forwarded, unless it is too long to be kept.
+// handleServerError keeps an answer with a 5xx status, which is forwarded if the request may not be retried, unless it is too long.
 func (s *requestState) handleServerError(a *attempt) (string, followUp) {
 	body, whole, err := readBuffered(a.answer.Body)
 	a.placement.End(board.Failed)
-	if s.retryable() && s.takeRetry() {
-		countFailedAttempt("error_answer")
-		return "", freeFollowUp
+	if err == nil && whole {
+		s.serverError = &serverError{a.answer, body}
 	}
-	if err != nil || !whole || s.responseStarted {
-		return "", noFollowUp
+	if !s.retryable() {
+		return s.forwardServerError(), noFollowUp
 	}
-	s.writeAnswer(a.answer, body)
-	return "error", noFollowUp
+	countFailedAttempt("error_answer")
+	return "", budgetedFollowUp
+}
+
+// serverError is an answer with a 5xx status and its whole body.
+type serverError struct {
+	answer *Answer
+	body   []byte
+}
+
+// forwardServerError forwards the 5xx answer of the last attempt. The outcome is empty if there is none, or if the caller has a
+// part of an answer.
+func (s *requestState) forwardServerError() (outcome string) {
+	if s.serverError == nil || s.responseStarted {
+		return ""
+	}
+	s.writeAnswer(s.serverError.answer, s.serverError.body)
+	return "error"
 }
 
 // readBuffered reads the first maxBufferedBytes of a body, and reports whether that is the whole body.
