relay: Avoid a hedge's target after it has failed

Callers saw: nothing for certain; a retry could go to the engine that had just failed, and use up the last attempt there.

Cause: the target of the first placement was excluded after an attempt, and not that of the hedge which had gone on with the answer since.

Evidence: TestFailedHedgeNotAskedAgain, before: the third placement did not exclude the second target.

Change: tryTarget excludes the target whose attempt has failed.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -88,17 +88,21 @@
 		current.close()
 		s.attemptsSent += w.sent
 		s.mayHaveRun = s.mayHaveRun || w.mayHaveRun
-		switch {
-		case hedge != nil:
+		if hedge != nil {
 			s.exclude[current.placement.Target.ID] = true
 			current = hedge
-		case outcome != "" || next == noFollowUp:
+			continue
+		}
+		if outcome != "" || next == noFollowUp {
 			return outcome, false
-		case next == freeFollowUp || s.takeRetry():
+		}
+		if current.placement.PartMemory == 0 && !s.helperFailed(current.placement) {
+			s.exclude[current.placement.Target.ID] = true
+		}
+		if next == freeFollowUp || s.takeRetry() {
 			return "", true
-		default:
-			return s.forwardServerError(), false
 		}
+		return s.forwardServerError(), false
 	}
 }
 
--- a/internal/relay/hedged_test.go
+++ b/internal/relay/hedged_test.go
@@ -78,3 +78,21 @@
 	is.Equal(got.Code, http.StatusOK)
 	is.Equal(got.Body.String(), eventsBetween(1, 6))
 }
+
+// Guards against: a target that took over from a silent one and then failed is asked again, though there is another one.
+func TestFailedHedgeNotAskedAgain(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := &silentSite{maxAttempts: 3, next: func(_ context.Context, lastEventID int) (*Answer, error) {
+		if lastEventID == 2 {
+			return breakAfter(eventsBetween(3, 3))(Request{}, 0)
+		}
+		return answerWith(200, eventsBetween(lastEventID+1, 6))(Request{}, 0)
+	}}
+	got, aborted := s.serve(t, resumable, eventsBetween(1, 2), "", nil)
+	is.True(!aborted)
+	is.Equal(got.Body.String(), eventsBetween(1, 6))
+	is.Equal(len(s.targets), 3)
+	is.True(s.excluded[2][s.targets[0]])
+	is.True(s.excluded[2][s.targets[1]])
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -126,9 +126,6 @@
 		if outcome != "" {
 			return outcome
 		}
-		if p.PartMemory == 0 && !s.helperFailed(p) {
-			s.exclude[p.Target.ID] = true
-		}
 		if !tryNext {
 			return s.giveUp(ctx)
 		}
