serve: Log handlers that panic

The server reports a panic of a handler at the debug level alone, so that the log could not say whether one was the cause.

Change: a panic other than the one that aborts an answer on purpose is logged with its stack, and counted.

--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -21,6 +21,7 @@
 // HTTP adds an HTTP server to the group. When the group stops, the server accepts no more connections and waits up to
 // shutdownTimeout for the open ones to become idle; those that do not are cut off.
 func HTTP(g *run.Group, l net.Listener, server *http.Server, shutdownTimeout clock.Millis) {
+	server.Handler = logPanics(server.Handler)
 	server.ErrorLog = slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug)
 	g.Add(func() error {
 		err := server.Serve(l)
