relay: Ask another engine after a long gap within a stream, without a failed probe

Callers saw: streams without an event for two seconds, after which they left, beside idle engines.

Cause: a hedge waited for a failed probe. Probes come once a second and take 0.6 s to fail, and half of them failing at once count as the instance's own fault, so the report often came after the caller had left. A gap of several times the objective, and of 1.4 s or more, says enough by itself once a stream has begun; before its first event it does not.

Evidence: TestHedgeWithoutFailedProbe, which failed before (stream begun).

--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -17,8 +17,8 @@
 	"github.com/corianderpier/corianderpier/internal/clock"
 )
 
-// watch looks after an attempt while it goes on. If its target is reported down and sends nothing, another target is asked beside
-// it (a hedge). Whichever sends something first goes on with the answer: a target that is silent for a while may be sound.
+// watch looks after an attempt while it goes on. If its target sends nothing, another target is asked beside it (a hedge). Whichever
+// sends something first goes on with the answer: a target that is silent for a while may be sound.
 type watch struct {
 	request *requestState
 	attempt *attempt
@@ -73,37 +73,54 @@
 	return w.hedge
 }
 
-// sleep waits, and reports false if the attempt has ended.
-func (w *watch) sleep(d clock.Millis) bool {
+// sleep waits, and reports false if the attempt has ended. It returns early once wake is closed.
+func (w *watch) sleep(d clock.Millis, wake <-chan struct{}) bool {
 	timer := time.NewTimer(d.Duration())
 	defer timer.Stop()
 	select {
 	case <-w.ended:
 		return false
+	case <-wake:
 	case <-timer.C:
-		return true
 	}
+	return true
 }
 
-// hedgeWhenSilent asks other targets, one after the other, while the target is down and silent.
+// hedgeWhenSilent asks other targets, one after the other, while the target is silent for longer than it may be.
 func (w *watch) hedgeWhenSilent() {
-	select {
-	case <-w.ended:
-		return
-	case <-w.attempt.placement.TargetDown():
-	}
-	for w.left > 0 {
-		wait := stallCheckInterval
-		if at := w.request.snapshot(); clock.Now()-at.progressAt > stallTimeout {
+	down := w.attempt.placement.TargetDown()
+	for w.left > 0 && w.hedge == nil {
+		at := w.request.snapshot()
+		select {
+		case <-down:
+			down = nil
+		default:
+		}
+		wait := w.maxSilence(at, down == nil) - (clock.Now() - at.progressAt)
+		if wait < 0 {
 			w.tryHedge(at)
 			wait = hedgeInterval
 		}
-		if w.hedge != nil || !w.sleep(wait) {
+		if !w.sleep(min(wait, stallTimeout), down) {
 			return
 		}
 	}
 }
 
+// maxSilence returns for how long the target may send nothing before another one is asked. Before the first event, silence says
+// little, as the prompt may wait for others; then only a target that is reported down is suspected.
+func (w *watch) maxSilence(at progress, down bool) clock.Millis {
+	s := w.request
+	switch {
+	case down:
+		return stallTimeout
+	case at.responseStarted && s.EventGapSLO > 0:
+		return max(stallTimeout, silentGaps*s.EventGapSLO)
+	default:
+		return s.deadline() - at.progressAt
+	}
+}
+
 // tryHedge asks one other target to go on with the answer. If that does before the silent one sends something, the attempt at the
 // silent one is ended.
 func (w *watch) tryHedge(since progress) {
@@ -249,7 +266,7 @@
 func (w *watch) endWhenMemoryIdle() {
 	s := w.request
 	limit := s.relay.Tickets.IdleLimit()
-	for wait := limit; w.sleep(wait); {
+	for wait := limit; w.sleep(wait, nil); {
 		at := s.snapshot()
 		if wait = limit - (clock.Now() - at.progressAt); wait > 0 {
 			continue
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,12 +19,12 @@
 	maxAnswerBytes         = 16 << 20               // of an answer that is not a stream; a longer one fails
 	maxBufferedBytes       = 64 << 10               // of such an answer that are read before the caller gets any, so that it may be retried
 	maxUnreachableTargets  = 3                      // targets of a request that may prove unreachable without counting as attempts
-	stallTimeout           = 1600 * clock.Millis(1) // without an event, after which another target is asked beside one that is reported down
-	stallCheckInterval     = 200 * clock.Millis(1)
-	hedgeInterval          = 600 * clock.Millis(1) // after a hedge that failed, or could not be had, until the next one
-	maxReservationFailures = 3                     // failures to reserve memory after which a request is refused
-	answeringAfter         = 200 * clock.Millis(1) // after the first event of an attempt, by when an engine has crashed if a part of the prompt is fatal
-	minTimeLeft            = 20 * clock.Millis(1)  // before the deadline; a request with less time left is refused
+	stallTimeout           = 1400 * clock.Millis(1) // without an event, after which another target is asked beside one that is reported down
+	silentGaps             = 4                      // multiple of the objective for the gap between events, after which another target is asked beside one that is not reported down
+	hedgeInterval          = 600 * clock.Millis(1)  // after a hedge that failed, or could not be had, until the next one
+	maxReservationFailures = 3                      // failures to reserve memory after which a request is refused
+	answeringAfter         = 200 * clock.Millis(1)  // after the first event of an attempt, by when an engine has crashed if a part of the prompt is fatal
+	minTimeLeft            = 20 * clock.Millis(1)   // before the deadline; a request with less time left is refused
 )
 
 // Relay forwards requests to targets and their answers to the callers.
--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -53,10 +53,11 @@
 	retries     int                                                   // allowed by the budget; zero for enough
 	budgetTaken int                                                   // retries that are taken from the budget before
 	tickets     *ticket.Manager
-	engines     int // zero for three
-	maxAttempts int // of the request; zero for two
-	hangs       int // engines that do not answer probes, the first ones that are asked; zero for one
-	lateStatus  int // with which the first engine answers after it was silent; zero for an answer that begins at once
+	probesWork  bool // all engines answer probes
+	engines     int  // zero for three
+	maxAttempts int  // of the request; zero for two
+	hangs       int  // engines that do not answer probes, the first ones that are asked; zero for one
+	lateStatus  int  // with which the first engine answers after it was silent; zero for an answer that begins at once
 
 	mu           sync.Mutex
 	targets      []string          // ids of the engines that were asked
@@ -68,7 +69,7 @@
 func (s *silentSite) probe(_ context.Context, t board.Target) (board.Report, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if i := slices.Index(s.targets, t.ID); i >= 0 && i < max(s.hangs, 1) {
+	if i := slices.Index(s.targets, t.ID); i >= 0 && i < max(s.hangs, 1) && !s.probesWork {
 		return board.Report{}, eris.New("no answer")
 	}
 	return board.Report{Slowdown: 1}, nil
@@ -365,3 +366,28 @@
 		})
 	}
 }
+
+// Guards against: a caller leaves a stream that has begun, as its engine is silent but not reported down, although others are idle.
+// Before the first event, such an engine keeps the request.
+func TestHedgeWithoutFailedProbe(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		first        string
+		rest         string
+		wantAttempts int
+	}{"stream begun": {eventsBetween(1, 2), "late", 2}, "stream not begun": {"", eventsBetween(1, 6), 1}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			began := time.Now()
+			s := &silentSite{probesWork: true, next: func(_ context.Context, lastEventID int) (*Answer, error) {
+				return answerWith(200, eventsBetween(lastEventID+1, 6))(Request{}, 0)
+			}}
+			got, aborted := s.serve(t, resumable, c.first, c.rest, nil)
+			is.True(!aborted)
+			is.Equal(got.Body.String(), eventsBetween(1, 6))
+			is.Equal(len(s.lastEventIDs), c.wantAttempts)
+			is.Equal(time.Since(began) < silence, c.wantAttempts > 1)
+		})
+	}
+}
