relay: Ask a third engine when the hedge's engine is down as well

Callers saw: a stream without an event until its deadline, then cut: its engine hung, and the one that was asked beside it too.

Cause: nothing looked after a hedge until its first event; the watch waits for it.

Change: a hedge whose own target is down is ended after stallTimeout while the attempt beside which it was asked still goes on, so that nothing is lost by it; and one whose leased memory is idle is ended as an attempt is.

Remains: when the attempt breaks meanwhile, the hedge is awaited as before, since it is the only one left; if its engine hangs for good, until the deadline.

--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -138,6 +138,9 @@
 		return
 	}
 	s.whenAdvanced(since, hedge.cancel) // it can no longer go on with the answer then
+	begun := make(chan struct{})
+	w.group.Go(func() { w.endHungHedge(hedge, begun) })
+	defer close(begun)
 	err = hedge.send(s.relay, s.Request, since.lastEventID)
 	if sent(err) {
 		w.left--
@@ -162,6 +165,50 @@
 	w.attempt.cancel()
 }
 
+// endHungHedge ends a hedge that does not begin: if its own target is down and silent while the attempt goes on, so that another one
+// can be asked, or if nothing uses the memory that it has leased.
+func (w *watch) endHungHedge(hedge *attempt, begun <-chan struct{}) {
+	asked := clock.Now()
+	idleSince := asked
+	ticker := time.NewTicker(stallCheckInterval.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-begun:
+			return
+		case <-ticker.C:
+		}
+		idle := false
+		if hedge.leases != nil && clock.Now()-idleSince > w.request.relay.Tickets.IdleLimit() {
+			idle, idleSince = hedge.leases.Idle(hedge.ctx), clock.Now()
+		}
+		if idle || w.inProgress() && isDown(hedge.placement) && clock.Now()-asked > stallTimeout {
+			hedge.cancel()
+			return
+		}
+	}
+}
+
+// inProgress reports whether the attempt has not ended.
+func (w *watch) inProgress() bool {
+	select {
+	case <-w.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// isDown reports whether a target or a helper of a placement did not answer a probe.
+func isDown(p *board.Placement) bool {
+	select {
+	case <-p.TargetDown():
+		return true
+	default:
+		return false
+	}
+}
+
 // place chooses a target for a hedge, within the budget of retries; it returns nil if there is none.
 func (w *watch) place(since progress) *board.Placement {
 	s := w.request
--- a/internal/relay/hedged_test.go
+++ b/internal/relay/hedged_test.go
@@ -4,10 +4,15 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/ticket"
 )
 
 // hung answers an attempt at an engine that never goes on.
@@ -52,6 +57,23 @@
 	is.True(time.Since(began) < silence+time.Second)
 }
 
+// Guards against: the engine that is asked beside a hung one hangs as well, and no third one is asked until the deadline.
+func TestHedgeHangsToo(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := &silentSite{engines: 8, maxAttempts: 3, hangs: 2, first: func(ctx context.Context, first, rest string) *Answer { return pausing(ctx, first, time.Hour, rest) }}
+	var asked atomic.Int32
+	s.next = func(ctx context.Context, lastEventID int) (*Answer, error) {
+		if asked.Add(1) == 1 {
+			return hung(ctx)
+		}
+		return answerWith(200, eventsBetween(lastEventID+1, 6))(Request{}, 0)
+	}
+	got, aborted := s.serve(t, resumable, eventsBetween(1, 2), "", nil)
+	is.True(!aborted)
+	is.Equal(got.Body.String(), eventsBetween(1, 6))
+}
+
 // Guards against: a request is sent to more targets than it has attempts, as its silent target answers with an error while
 // another one is asked.
 func TestHedgeCountsAsAttempt(t *testing.T) {
@@ -96,3 +118,48 @@
 	is.True(s.excluded[2][s.targets[0]])
 	is.True(s.excluded[2][s.targets[1]])
 }
+
+// Guards against: memory that a hedge has leased stays leased while its engine is silent, and nobody uses it.
+func TestMemoryOfSilentHedgeReleased(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const maxIdle = 2 * clock.Second
+	var mu sync.Mutex
+	var idle time.Duration
+	taken := make(map[string]time.Time)
+	s := &silentSite{engines: 8, memory: 800, hangs: 2, next: func(ctx context.Context, _ int) (*Answer, error) { return hung(ctx) }}
+	s.first = func(ctx context.Context, first, rest string) *Answer { return pausing(ctx, first, time.Hour, rest) }
+	used := make(map[string]bool)
+	s.tickets = &ticket.Manager{
+		Reserve: func(_ context.Context, l ticket.Lease, _ clock.Millis) error {
+			mu.Lock()
+			defer mu.Unlock()
+			if taken[l.ID].IsZero() {
+				taken[l.ID] = time.Now()
+				used[l.ID] = len(taken) <= 2 // the leases of the first attempt are in use
+			}
+			return nil
+		},
+		Release: func(_ context.Context, l ticket.Lease) error {
+			mu.Lock()
+			defer mu.Unlock()
+			if !used[l.ID] {
+				idle = max(idle, time.Since(taken[l.ID]))
+			}
+			return nil
+		},
+		InUse: func(_ context.Context, l ticket.Lease) (bool, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			return used[l.ID], nil
+		},
+		MaxIdleTime: func() clock.Millis { return maxIdle },
+	}
+	_, _ = s.serve(t, resumable, eventsBetween(1, 2), "", nil)
+	time.Sleep(100 * time.Millisecond) // until the leases are released in the background
+	mu.Lock()
+	defer mu.Unlock()
+	is.True(len(taken) > 2) // a hedge has leased memory
+	is.True(idle > 0)
+	is.True(idle < maxIdle.Duration())
+}
