ticket: Renew leases more often while their engine is silent

Evidence, before: TestLeaseOutlastsSilence/just_before_a_renewal failed in 3 runs of 3; the other case passed.

Change: after an unanswered renewal the next ones follow each 200 ms until one is answered, so that a silence of up to 1.9 s is outlasted, at no cost in calm.

Remains: a silence of 2 to 2.5 s may still end a lease. Longer leases would keep memory set aside for too long after an instance is killed.

--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -10,19 +10,21 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
 )
 
 const (
-	defaultMaxUnused   = 4 * clock.Second      // if Manager.MaxUnusedTime gives none
-	defaultMaxIdle     = 9 * clock.Second      // if Manager.MaxIdleTime gives none
-	idleShare          = 0.75                  // of the maximum idle time, after which leases are checked; the rest allows for the check and the release
-	leaseShare         = 0.75                  // of the maximum unused time; the rest allows for a last renewal that reaches the engine late
-	renewalsPerLease   = 3.5                   // calls within one lease, so that it survives the loss of some
-	callTimeout        = 400 * clock.Millis(1) // for one call to an engine
-	maxReleaseAttempts = 8                     // after which a lease is left to expire
-	releaseRetryDelay  = 300 * clock.Millis(1) // between two attempts
+	defaultMaxUnused    = 4 * clock.Second      // if Manager.MaxUnusedTime gives none
+	defaultMaxIdle      = 9 * clock.Second      // if Manager.MaxIdleTime gives none
+	idleShare           = 0.75                  // of the maximum idle time, after which leases are checked; the rest allows for the check and the release
+	leaseShare          = 0.75                  // of the maximum unused time; the rest allows for a last renewal that reaches the engine late
+	renewalsPerLease    = 3.5                   // calls within one lease, so that it survives the loss of some
+	callTimeout         = 400 * clock.Millis(1) // for one call to an engine
+	silentRenewInterval = 200 * clock.Millis(1) // between renewals at an engine that left the last one unanswered
+	maxReleaseAttempts  = 8                     // after which a lease is left to expire
+	releaseRetryDelay   = 300 * clock.Millis(1) // between two attempts
 )
 
 // Lease is a lease of one engine's memory.
@@ -88,7 +90,7 @@
 	metrics.GetOrCreateCounter(`pier_ticket_events_total{event="held"}`).Inc()
 	renewing, stop := context.WithCancel(context.WithoutCancel(ctx))
 	set := &LeaseSet{manager: m, leases: ordered, stop: stop}
-	go set.renew(renewing)
+	set.renew(renewing)
 	return set, nil
 }
 
@@ -104,24 +106,38 @@
 	return err
 }
 
-// renew renews the leases periodically until they are released.
+// renew renews the leases until they are released.
 func (s *LeaseSet) renew(ctx context.Context) {
+	for _, l := range s.leases {
+		go s.keep(ctx, l)
+	}
+}
+
+// keep renews one lease at each interval, and more often while its engine leaves renewals unanswered: an engine that is silent
+// for a while may go on, and cuts off the request if the lease has expired by then.
+func (s *LeaseSet) keep(ctx context.Context, l Lease) {
 	interval := clock.Millis(float64(s.manager.leaseTime()) / renewalsPerLease)
-	clock.Every(ctx, interval, func() {
-		for _, l := range s.leases {
-			go s.renewLease(ctx, l)
+	var silent atomic.Bool
+	for wait := interval; clock.Sleep(ctx, wait) == nil; {
+		go func() { silent.Store(!s.renewLease(ctx, l)) }()
+		if wait = interval; silent.Load() {
+			wait = min(interval, silentRenewInterval)
 		}
-	})
+	}
 }
 
-// renewLease renews one lease once; a failure is logged and left to the next renewal.
-func (s *LeaseSet) renewLease(ctx context.Context, l Lease) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+// renewLease renews one lease once, and reports whether the engine has answered. A failure is logged and left to the next renewal.
+func (s *LeaseSet) renewLease(ctx context.Context, l Lease) (answered bool) {
+	call, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
-	if err := s.manager.Reserve(ctx, l, s.manager.leaseTime()); err != nil && ctx.Err() == nil {
-		metrics.GetOrCreateCounter(`pier_ticket_events_total{event="not_renewed"}`).Inc()
-		slog.Info("memory lease not renewed", "ticket", l.ID, "target", l.Target, "error", err.Error())
+	err := s.manager.Reserve(call, l, s.manager.leaseTime())
+	if err == nil || ctx.Err() != nil {
+		return true
 	}
+	metrics.GetOrCreateCounter(`pier_ticket_events_total{event="not_renewed"}`).Inc()
+	slog.Info("memory lease not renewed", "ticket", l.ID, "target", l.Target, "error", err.Error())
+	var e *Error
+	return eris.As(err, &e) && e.Kind == Refused
 }
 
 // Idle reports whether an engine says that no request uses its lease. One that does not answer counts as if it were in use.
--- a/internal/ticket/ticket_test.go
+++ b/internal/ticket/ticket_test.go
@@ -145,3 +145,43 @@
 		set.Release()
 	}
 }
+
+// Guards against: the lease of a sound engine that is silent for a while runs out, so that the request that uses it is cut off.
+func TestLeaseOutlastsSilence(t *testing.T) {
+	t.Parallel()
+	const (
+		maxUnused = 4 * clock.Second
+		silence   = 1850 * time.Millisecond
+	)
+	for name, before := range map[string]time.Duration{"just before a renewal": 50 * time.Millisecond, "between renewals": 500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var mu sync.Mutex
+			var until time.Time // of the lease
+			var lapsed bool
+			began := time.Now()
+			m := &Manager{MaxUnusedTime: func() clock.Millis { return maxUnused }, Release: func(context.Context, Lease) error { return nil }}
+			interval := time.Duration(float64(m.leaseTime().Duration()) / renewalsPerLease)
+			silentFrom := began.Add(interval - before)
+			m.Reserve = func(ctx context.Context, _ Lease, duration clock.Millis) error {
+				if now := time.Now(); now.After(silentFrom) && now.Before(silentFrom.Add(silence)) {
+					<-ctx.Done()
+					return &Error{Op: "reserve", Kind: NoAnswer, Err: ctx.Err()}
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				lapsed = lapsed || !until.IsZero() && time.Now().After(until)
+				until = time.Now().Add(duration.Duration())
+				return nil
+			}
+			set, err := m.Acquire(context.Background(), testLeases[:1])
+			is.NoErr(err)
+			time.Sleep(time.Until(silentFrom.Add(silence + 1200*time.Millisecond)))
+			set.Release()
+			mu.Lock()
+			defer mu.Unlock()
+			is.True(!lapsed)
+		})
+	}
+}
