flow: Count resumes of a stream since its last frame

Callers saw (by a test alone): an answer is given up, and its memory at the engine released, at the third silence of 1.8 s in it, although the engine went on each time; if no other attempt could be placed, the answer ended there.

A stream that stalls for 1.5 s is resumed on a new connection, twice at most in all, however far it had got in between.

Evidence, before: TestEngineSilentRepeatedly: attempt failed, "stream: silent", its holding released.

Change: resumes are counted since the last frame. An engine that never goes on is given up as soon as before.

--- a/internal/flow/prompt.go
+++ b/internal/flow/prompt.go
@@ -25,7 +25,7 @@
 
 const (
 	stallTimeout        = 1500 * clock.Millis(1) // without a byte from the engine, after which its stream counts as stalled
-	maxResumes          = 2                      // per attempt, each on a new connection
+	maxResumes          = 2                      // one after the other without a new frame, each on a new connection
 	affinityPrefixBytes = 4096                   // of a prompt that are hashed, for prefix-cache affinity
 	retryRatio          = 0.2                    // retries per request of a service
 	retryExtra          = 50                     // retries in each window beyond the ratio
@@ -152,7 +152,9 @@
 	for resumes := 0; ; resumes++ {
 		prompt.ResumeOffset = r.offset
 		received, err := p.TargetClient.Stream(ctx, addr, prompt, resumes > 0, stallTimeout, placed.slot.RecordLoad, forward)
-		r.offset += received
+		if r.offset += received; received > 0 {
+			resumes = 0
+		}
 		r.mayHaveRun = r.mayHaveRun || err == nil || !notProcessed(err)
 		kind := target.KindOf(err)
 		resumable := kind == target.Broken || kind == target.Stalled
