--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -91,10 +91,8 @@
 	down := w.attempt.placement.TargetDown()
 	for w.left > 0 && w.hedge == nil {
 		at := w.request.snapshot()
-		select {
-		case <-down:
+		if isDown(w.attempt.placement) {
 			down = nil
-		default:
 		}
 		wait := w.maxSilence(at, down == nil) - (clock.Now() - at.progressAt)
 		if wait < 0 {
