relay: Name a request's fingerprint in the log

An attempt that failed said nothing of which request came again: the id is new with each of a caller's attempts. The lines request and attempt failed have print, a hash of method, host, path, customer and body.

Logic as before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -181,7 +181,7 @@
 		kind, ctx = *why, s.ctx
 	}
 	slog.Info("attempt failed", "request", s.ID, "target", p.Target.ID, "error", err.Error(), "ended", ctx.Err() != nil,
-		"events", s.eventsForwarded-s.eventsBefore, "parts", s.SharedParts)
+		"events", s.eventsForwarded-s.eventsBefore, "parts", s.SharedParts, "print", s.print)
 	if kind == NotSent {
 		s.unreachableTargets++
 		if ctx.Err() != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -49,6 +49,7 @@
 // requestState is the state of one request across its attempts.
 type requestState struct {
 	Request
+	print               string          // its fingerprint
 	ctx                 context.Context // of the whole request
 	relay               *Relay
 	w                   http.ResponseWriter
@@ -83,7 +84,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline().Time())
 	defer cancel()
-	s := &requestState{Request: r, ctx: ctx, relay: rl, w: w, exclude: make(map[string]bool), lastEventID: r.LastEventID}
+	s := &requestState{Request: r, print: r.fingerprint(), ctx: ctx, relay: rl, w: w, exclude: make(map[string]bool), lastEventID: r.LastEventID}
 	rl.Budget(r.Service).RecordRequest()
 	s.recordOutcome(s.serve(ctx))
 	if s.abortConn {
@@ -107,7 +108,7 @@
 	metrics.GetOrCreateHistogram(`pier_relay_seconds{service="` + s.Service + `"}`).Update(float64(took) / 1000)
 	slog.Info("request", "request", s.ID, "service", s.Service, "customer", s.Customer, "config", s.ConfigVersion,
 		"outcome", outcome, "target", s.target, "limit", s.rateLimit, "helpers", s.helpers, "sent", s.attemptsSent, "unreachable", s.unreachableTargets,
-		"prompt", s.PromptTokens, "parts", s.SharedParts, "predicted_ms", int64(s.predictedFirstEvent), "first_ms", int64(s.timeToFirstEvent), "aim_ms", int64(s.FirstEventSLO),
+		"prompt", s.PromptTokens, "parts", s.SharedParts, "print", s.print, "predicted_ms", int64(s.predictedFirstEvent), "first_ms", int64(s.timeToFirstEvent), "aim_ms", int64(s.FirstEventSLO),
 		"events", s.eventsForwarded, "pause_ms", int64(s.longestGap), "pause_aim_ms", int64(s.EventGapSLO),
 		"left_ms", int64(s.Deadline-clock.Now()), "took_ms", int64(took))
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"crypto/sha256"
+	"encoding/base64"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -8,6 +11,11 @@
 	"github.com/corianderpier/corianderpier/internal/clock"
 )
 
+const (
+	fingerprintBytes  = 12  // of the hash
+	fingerprintPrefix = "=" // with which no id of a part of a prompt begins
+)
+
 // Kind tells how a request is answered and whether it may be retried.
 type Kind uint8
 
@@ -49,6 +57,16 @@
 // retryable reports whether the request may be sent again after a target may have run it.
 func (r Request) retryable() bool { return r.Kind == Idempotent || r.Kind == Stream && r.Resumable }
 
+// fingerprint returns what is the same for a request that its caller sends again with another id.
+func (r Request) fingerprint() string {
+	hash := sha256.New()
+	for _, field := range []string{r.Method, r.Host, r.Path, r.Customer} {
+		_, _ = fmt.Fprintf(hash, "%d:%s", len(field), field)
+	}
+	_, _ = hash.Write(r.Body)
+	return fingerprintPrefix + base64.RawURLEncoding.EncodeToString(hash.Sum(nil)[:fingerprintBytes])
+}
+
 // placementRequirements returns what the board needs to know to place the next attempt; exclude are ids of targets.
 func (r Request) placementRequirements(exclude map[string]bool) board.Requirements {
 	now := clock.Now()
