relay: Do not take a silence for a crash

A sound target may fall silent for a second, and an instance gives such an attempt up itself (Stalled). Each counted as a crash of the target under the shared parts of the prompt, so that three silences within a minute and no answer quarantined a sound part for a second or more.

Only a connection that the target ended speaks against what it ran.

TestSilenceIsNoCrash failed before: the third request was refused 503.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -197,7 +197,7 @@
 		p.End(board.Inconclusive)
 		return "", false
 	}
-	if !s.answering && (kind == Broken || kind == Stalled) {
+	if !s.answering && kind == Broken {
 		s.relay.Blame.RecordCrash(s.SharedParts, p.Target.ID)
 	}
 	p.End(board.Failed)
--- a/internal/relay/deadly_test.go
+++ b/internal/relay/deadly_test.go
@@ -51,3 +51,21 @@
 	relay.Serve(context.Background(), got, r)
 	return got.Code
 }
+
+// Guards against: a target that falls silent, or a machine that is gone without a word, speaks against the requests and the parts
+// of prompts that it had, which are refused then though nothing crashed under them.
+func TestSilenceIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	now := clock.Now()
+	target := &fakeTarget{attempts: []attemptFunc{func(Request, int) (*Answer, error) {
+		now += clock.Second
+		return nil, &Error{Op: "send", Kind: Stalled}
+	}}}
+	relay, _ := newRelay(t, target.send)
+	relay.Blame.Now = func() clock.Millis { return now }
+	r := Request{Kind: Stream, Resumable: true, Method: "POST", Path: "/read/", Body: []byte("a contract"), MaxAttempts: 2, SharedParts: []string{"part"}}
+	for n := range 3 {
+		is.Equal(serveAgain(relay, r, n), http.StatusBadGateway)
+	}
+	is.Equal(target.sent, 6)
+}
