blame, relay: Quarantine a request as a whole

Callers of a service with three targets were refused or failed while one request, a plain call that came again and again, ended all three as soon as they were back; prompts whose own part or body is fatal did the same.

Cause: only the shared parts of prompts were blamed.

A request as a whole is one more suspect: a hash of method, host, path, customer, the list of the prompt's parts and body, 17 bytes between instances. It differs from a part in three ways. Its crashes count without a gap, as few targets of a host have the same request. An answer drops the crashes before it and defends against none after it, so that answers go out with their age (a new field; older instances don't read it). And it is let through after 1 s, 8 s, 10 min and then each hour, as only its own caller misses it. A request explains the crashes of the parts of its prompt, not of another request with as many.

Trials count for the wait only if a target crashed: one that reached no target, as where all are down, no longer makes the next one rarer. What is quarantined is kept before what is only suspected, and while it is asked for. A complete answer with another 2xx status, or over 64 KB, counts as one.

TestQuarantineOutlastsSuspects asked Quarantined two seconds later, when a trial is due; it looks at the state now. TestAnswerClearsParts sent one request again and again, which is now blamed itself; no two are alike now.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"encoding/base64"
 	"log/slog"
 	"slices"
+	"strings"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -11,80 +13,30 @@
 	"github.com/corianderpier/corianderpier/internal/clock"
 )
 
+const requestMark = "=" // with which the ids of requests as a whole begin
+
 const (
-	crashesToQuarantine = 3                     // crashes without an answer in between, after which a part is quarantined
+	crashesToQuarantine = 3                     // crashes without an answer in between, after which a suspect is quarantined
 	minCrashGap         = 100 * clock.Millis(1) // crashes closer together count as one, as a host or a rack fails with all its targets
 	sameCrashWindow     = clock.Second          // within which reports about one target are about the same crash
 	soundTime           = clock.Minute          // after an answer, for which a part is not suspected
-	firstTrialWait      = clock.Second          // after which one request with a quarantined part is let through again, see trialWait
-	trialWaitFactor     = 8                     // by which the wait grows with each trial
-	maxTrialWait        = 10 * clock.Minute     // between trials
-	forgetAfter         = clock.Hour            // after its last crash, when a part that nobody asks for is forgotten
-	maxSuspects         = 1024                  // suspected parts that are kept; those with the oldest crashes go first
-	maxCrashesPerPart   = 16                    // of a part that are kept
+	forgetAfter         = clock.Hour            // after its last crash or refusal, when a suspect is forgotten
+	maxSuspects         = 1024                  // that are kept; of those that are not quarantined the ones with the oldest crashes go first
+	maxCrashes          = 16                    // of a suspect that are kept
 	flushDelay          = 20 * clock.Millis(1)  // for which changes are collected for a datagram
 	repeatInterval      = 500 * clock.Millis(1) // between repetitions of what is quarantined, for instances that do not know it
 )
 
-// crash is the end of a target while it ran a request.
-type crash struct {
-	target string
-	at     clock.Millis
-}
-
-// same reports whether two reports are about the same crash.
-func (c crash) same(other crash) bool {
-	return c.target == other.target && max(c.at-other.at, other.at-c.at) < sameCrashWindow
+// Request returns the id of a request as a whole, by a fingerprint that is the same whenever its caller sends it again.
+func Request(fingerprint []byte) string {
+	return requestMark + base64.RawURLEncoding.EncodeToString(fingerprint)
 }
 
-// suspect is a part of prompts that targets crashed under.
-type suspect struct {
-	crashes     []crash      // by time
-	quarantined bool         // there are enough crashes
-	trials      int          // requests with the quarantined part that instances have let through
-	trialAt     clock.Millis // when the next one is
-}
+// IsRequest reports whether an id is that of a request as a whole, and not of a part of a prompt.
+func IsRequest(id string) bool { return strings.HasPrefix(id, requestMark) }
 
-// trialWait returns the time until the next trial. The first one comes soon, as a part may be quarantined wrongly when little is
-// known, as after a restart of all instances; further ones are rare, as each may cost a target and all its requests.
-func (s *suspect) trialWait() clock.Millis {
-	wait := firstTrialWait
-	for range s.trials {
-		wait = min(wait*trialWaitFactor, maxTrialWait)
-	}
-	return wait
-}
-
-// separateCrashes returns the crashes without the explained ones, and of those within minCrashGap only the first.
-func (s *suspect) separateCrashes(explained []crash) []crash {
-	var separate []crash
-	for _, c := range s.crashes {
-		if slices.ContainsFunc(explained, c.same) {
-			continue
-		}
-		if len(separate) == 0 || c.at-separate[len(separate)-1].at >= minCrashGap {
-			separate = append(separate, c)
-		}
-	}
-	return separate
-}
-
-// lastCrash returns the time of the latest crash.
-func (s *suspect) lastCrash() clock.Millis { return s.crashes[len(s.crashes)-1].at }
-
-// has reports whether a crash is known for the part.
-func (s *suspect) has(c crash) bool { return slices.ContainsFunc(s.crashes, c.same) }
-
-// add adds a crash, and drops the oldest one if there are too many.
-func (s *suspect) add(c crash) {
-	s.crashes = append(s.crashes, c)
-	slices.SortFunc(s.crashes, func(a, b crash) int { return int(a.at - b.at) })
-	if len(s.crashes) > maxCrashesPerPart {
-		s.crashes = slices.Delete(s.crashes, 0, 1)
-	}
-}
-
-// Tracker keeps what one instance knows of fatal parts. Its methods may be called from any goroutine.
+// Tracker keeps what one instance knows of fatal requests and parts of prompts, each of which has an id. Its methods may be called
+// from any goroutine.
 type Tracker struct {
 	Now       func() clock.Millis
 	After     func(delay clock.Millis, f func()) // calls a function on another goroutine after a delay
@@ -93,181 +45,226 @@
 
 	mu        sync.Mutex
 	suspects  map[string]*suspect
-	sound     recentParts
+	sound     recentAnswers
 	pending   Report
 	scheduled bool // a flush of the pending report is due
 }
 
-// Quarantined reports whether the prompt has a part that is quarantined, and when the caller may try again. From time to
-// time it lets a request through on trial, and tells the other instances.
-func (t *Tracker) Quarantined(parts []string) (wait clock.Millis, quarantined bool) {
-	if len(parts) == 0 {
-		return 0, false
-	}
+// Quarantined reports whether a request is to be refused, as it or a part of its prompt is quarantined, and when the caller may try
+// again. From time to time it lets a request through on trial, and tells the other instances.
+func (t *Tracker) Quarantined(ids []string) (wait clock.Millis, quarantined bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Now()
-	for _, part := range parts {
-		if s := t.suspects[part]; s != nil && s.quarantined {
-			wait = max(wait, s.trialAt-now)
+	for _, id := range ids {
+		if s := t.suspects[id]; s != nil && s.quarantined {
+			wait, s.asked = max(wait, s.trialAt-now), now
 		}
 	}
 	if wait > 0 {
 		return wait, true
 	}
-	for _, part := range parts {
-		if s := t.suspects[part]; s != nil && s.quarantined {
-			t.startTrial(part, s)
+	for _, id := range ids {
+		if s := t.suspects[id]; s != nil && s.quarantined {
+			s.startTrial(now)
+			t.announceTrial(id, s)
 		}
 	}
 	return 0, false
 }
 
-// startTrial records that a request with a quarantined part is let through, and tells the other instances.
-func (t *Tracker) startTrial(part string, s *suspect) {
-	s.trials++
-	s.trialAt = t.Now() + s.trialWait()
-	slog.Info("quarantined part let through on trial", "part", part, "trial", s.trials)
-	t.pending.Trials = append(t.pending.Trials, Trial{Part: part, Count: s.trials, Wait: s.trialAt}) // flush replaces the time by the wait
+// announceTrial tells the other instances that a quarantined request is let through.
+func (t *Tracker) announceTrial(id string, s *suspect) {
+	slog.Info("quarantined "+kindOf(id)+" let through on trial", kindOf(id), id, "trial", s.trials)
+	t.pending.Trials = append(t.pending.Trials, Trial{ID: id, Count: s.trials, Failed: s.failed, Wait: s.trialAt}) // flush replaces the time by the wait
 	t.schedule(0)
 }
 
-// RecordAnswer records that a target has answered a prompt with these parts, so that none of them is fatal.
-func (t *Tracker) RecordAnswer(parts []string) {
-	if len(parts) == 0 {
-		return
-	}
+// RecordAnswer records that a target has answered a request, so that neither it nor a part of its prompt is fatal.
+func (t *Tracker) RecordAnswer(ids []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, part := range parts {
-		if t.markSound(part) {
-			t.pending.Sound = append(t.pending.Sound, part)
+	now := t.Now()
+	for _, id := range ids {
+		if t.markSound(id, now) {
+			t.pending.Answers = append(t.pending.Answers, Answer{ID: id, Age: now}) // flush replaces the time by the age
 			t.schedule(flushDelay)
 		}
 	}
 }
 
-// RecordCrash records that a target ended the connection of a prompt with these parts before it had answered.
-func (t *Tracker) RecordCrash(parts []string, target string) {
-	if len(parts) == 0 {
-		return
-	}
+// RecordCrash records that a target ended the connection of a request before it had answered.
+func (t *Tracker) RecordCrash(ids []string, target string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Now()
-	for _, part := range parts {
-		if t.addCrash(part, crash{target, now}) {
-			t.pending.Crashes = append(t.pending.Crashes, Crash{Part: part, Target: target, Age: now}) // flush replaces the time by the age
+	for _, id := range ids {
+		if t.addCrash(id, crash{target, now}) {
+			t.pending.Crashes = append(t.pending.Crashes, Crash{ID: id, Target: target, Age: now}) // flush replaces the time by the age
 			t.schedule(flushDelay)
 		}
 	}
 }
 
-// markSound records that a part is sound. It reports whether the part was suspected.
-func (t *Tracker) markSound(part string) bool {
-	t.sound.add(part, t.Now())
-	s := t.suspects[part]
+// markSound records an answer to a request with an id. It reports whether the id was suspected. Of requests as a whole, which are
+// many, only the answers to those that were suspected are remembered.
+func (t *Tracker) markSound(id string, answered clock.Millis) bool {
+	s := t.suspects[id]
+	if s != nil || !IsRequest(id) {
+		t.sound.add(id, answered)
+	}
 	if s == nil {
 		return false
 	}
-	delete(t.suspects, part)
-	if s.quarantined {
-		slog.Info("part no longer quarantined", "part", part, "reason", "answered")
+	s.disprove(answered)
+	if s.quarantined && len(s.crashes) < crashesToQuarantine {
+		s.quarantined = false
+		slog.Info(kindOf(id)+" no longer quarantined", kindOf(id), id, "reason", "answered")
+	}
+	if len(s.crashes) == 0 {
+		delete(t.suspects, id)
 	}
 	t.reevaluate()
 	return true
 }
 
-// knownSound reports whether a part was answered within soundTime.
-func (t *Tracker) knownSound(part string) bool {
-	at, ok := t.sound.get(part)
-	return ok && t.Now()-at < soundTime
+// knownSound reports whether an answer shows that a crash was not caused by what has the id.
+func (t *Tracker) knownSound(id string, crashed clock.Millis) bool {
+	answered, ok := t.sound.get(id)
+	return ok && disproved(IsRequest(id), crashed, answered)
 }
 
-// addCrash adds a crash to a part, unless the part is known to be sound. It reports whether that is news.
-func (t *Tracker) addCrash(part string, c crash) bool {
-	if t.knownSound(part) {
+// addCrash adds a crash to a suspect, unless it is known to be sound. It reports whether that is news.
+func (t *Tracker) addCrash(id string, c crash) bool {
+	if t.knownSound(id, c.at) {
 		return false
 	}
-	s := t.suspects[part]
+	s := t.suspects[id]
 	if s != nil && s.has(c) {
 		return false
 	}
 	if s == nil {
-		s = &suspect{}
+		s = &suspect{whole: IsRequest(id)}
 		if t.suspects == nil {
 			t.suspects = make(map[string]*suspect)
 		}
 		t.makeRoom()
-		t.suspects[part] = s
+		t.suspects[id] = s
 	}
 	s.add(c)
+	s.failTrial(t.Now())
 	t.reevaluate()
 	return true
 }
 
-// reevaluate decides anew which parts are quarantined. The part with the most crashes goes first and explains these, so that they
-// do not count against parts whose requests were only on the same targets.
+// candidate is a suspect with enough crashes to be quarantined.
+type candidate struct {
+	id      string
+	crashes int
+	*suspect
+}
+
+// compare orders candidates by what they explain: those with the most crashes first, and requests before the parts of their prompts.
+func (c candidate) compare(other candidate) int {
+	switch {
+	case c.crashes != other.crashes:
+		return cmp.Compare(other.crashes, c.crashes)
+	case c.whole != other.whole && c.whole:
+		return -1
+	case c.whole != other.whole:
+		return 1
+	default:
+		return cmp.Compare(c.id, other.id)
+	}
+}
+
+// reevaluate decides anew what is quarantined. The candidate with the most crashes goes first and explains these, so that they do
+// not count against those that were only on the same targets. Of requests with as many crashes none explains another.
 func (t *Tracker) reevaluate() {
-	var parts []string
-	counts := make(map[string]int)
-	for part, s := range t.suspects {
-		if counts[part] = len(s.separateCrashes(nil)); counts[part] >= crashesToQuarantine {
-			parts = append(parts, part)
+	var explained, tied []crash
+	var last candidate
+	for _, c := range t.candidates() {
+		if !c.whole || c.crashes != last.crashes {
+			explained, tied = append(explained, tied...), nil
+		}
+		last = c
+		if len(c.separateCrashes(explained)) < crashesToQuarantine {
+			t.release(c.id, c.suspect)
+			continue
 		}
+		tied = append(tied, c.suspect.crashes...)
+		t.quarantine(c.id, c.suspect)
 	}
-	slices.SortFunc(parts, func(a, b string) int { return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b)) })
-	var explained []crash
-	for _, part := range parts {
-		s := t.suspects[part]
-		if len(s.separateCrashes(explained)) < crashesToQuarantine {
-			t.release(part, s)
+}
+
+// candidates returns the suspects with enough crashes in order.
+func (t *Tracker) candidates() []candidate {
+	var candidates []candidate
+	for id, s := range t.suspects {
+		if len(s.crashes) < crashesToQuarantine {
 			continue
 		}
-		explained = append(explained, s.crashes...)
-		t.quarantine(part, s)
+		if n := len(s.separateCrashes(nil)); n >= crashesToQuarantine {
+			candidates = append(candidates, candidate{id, n, s})
+		}
 	}
+	slices.SortFunc(candidates, candidate.compare)
+	return candidates
 }
 
-// quarantine quarantines a part.
-func (t *Tracker) quarantine(part string, s *suspect) {
+// quarantine quarantines a suspect.
+func (t *Tracker) quarantine(id string, s *suspect) {
 	if s.quarantined {
 		return
 	}
 	s.quarantined = true
-	s.trialAt = t.Now() + s.trialWait()
-	metrics.GetOrCreateCounter(`pier_blame_quarantined_total`).Inc()
-	slog.Info("part quarantined", "part", part, "crashes", len(s.crashes), "target", s.crashes[len(s.crashes)-1].target)
+	s.waitForTrial(t.Now(), s.failed)
+	if s.whole {
+		metrics.GetOrCreateCounter(`pier_blame_quarantined_requests_total`).Inc()
+	} else {
+		metrics.GetOrCreateCounter(`pier_blame_quarantined_total`).Inc()
+	}
+	slog.Info(kindOf(id)+" quarantined", kindOf(id), id, "crashes", len(s.crashes), "target", s.crashes[len(s.crashes)-1].target)
 }
 
-// release ends the quarantine of a part whose crashes another part explains.
-func (t *Tracker) release(part string, s *suspect) {
+// release ends the quarantine of a suspect whose crashes another one explains.
+func (t *Tracker) release(id string, s *suspect) {
 	if s.quarantined {
 		s.quarantined = false
-		slog.Info("part no longer quarantined", "part", part, "reason", "explained")
+		slog.Info(kindOf(id)+" no longer quarantined", kindOf(id), id, "reason", "explained")
+	}
+}
+
+// kindOf returns what an id stands for, as it is named in the log.
+func kindOf(id string) string {
+	if IsRequest(id) {
+		return "print"
 	}
+	return "part"
 }
 
-// makeRoom drops the suspect with the oldest crash if there are too many.
+// makeRoom drops a suspect if there are too many: one that is not quarantined if there is any, and of those the one with the oldest
+// last crash.
 func (t *Tracker) makeRoom() {
 	if len(t.suspects) < maxSuspects {
 		return
 	}
-	oldest := ""
-	for part, s := range t.suspects {
-		if oldest == "" || s.lastCrash() < t.suspects[oldest].lastCrash() {
-			oldest = part
+	var first *suspect
+	dropped := ""
+	for id, s := range t.suspects {
+		if first == nil || s.dropBefore(first) {
+			first, dropped = s, id
 		}
 	}
-	delete(t.suspects, oldest)
+	delete(t.suspects, dropped)
 }
 
-// expire forgets the parts whose last crash is long ago.
+// expire forgets the suspects whose last crash and request are long ago.
 func (t *Tracker) expire() {
 	now := t.Now()
-	for part, s := range t.suspects {
-		if now-s.lastCrash() >= forgetAfter {
-			delete(t.suspects, part)
+	for id, s := range t.suspects {
+		if now-max(s.lastCrash(), s.asked) >= forgetAfter {
+			delete(t.suspects, id)
 		}
 	}
 }
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -283,14 +283,14 @@
 		f.now++
 	}
 	is.True(len(tracker.suspects) <= maxSuspects)
-	for n := range 3 * maxRecentParts {
+	for n := range 3 * maxRecentAnswers {
 		tracker.RecordAnswer([]string{fmt.Sprint("sound", n)})
 	}
-	is.True(len(tracker.sound.current)+len(tracker.sound.previous) <= 2*maxRecentParts)
-	for n := range 3 * maxCrashesPerPart {
+	is.True(len(tracker.sound.current)+len(tracker.sound.previous) <= 2*maxRecentAnswers)
+	for n := range 3 * maxCrashes {
 		f.crash(fmt.Sprint("engine", n), map[int][]string{0: {"fatal"}})
 	}
-	is.Equal(len(tracker.suspects["fatal"].crashes), maxCrashesPerPart)
+	is.Equal(len(tracker.suspects["fatal"].crashes), maxCrashes)
 	f.now += forgetAfter
 	tracker.quarantineReport()
 	is.Equal(len(tracker.suspects), 0)
--- a/internal/blame/report.go
+++ b/internal/blame/report.go
@@ -8,34 +8,41 @@
 
 const maxReportEntries = 10 // of each kind in one report, so that it fits into a datagram
 
-// Crash is a crash under a prompt with a part, as instances tell each other.
+// Crash is a crash under a request with an id, as instances tell each other.
 type Crash struct {
-	Part   string       `cbor:"1,keyasint"`
+	ID     string       `cbor:"1,keyasint"`
 	Target string       `cbor:"2,keyasint"`
 	Age    clock.Millis `cbor:"3,keyasint,omitempty"` // since the crash
 }
 
-// Trial tells how many requests with a quarantined part were let through.
+// Answer is an answer to a request with a suspected id.
+type Answer struct {
+	ID  string       `cbor:"1,keyasint"`
+	Age clock.Millis `cbor:"2,keyasint,omitempty"` // since the answer
+}
+
+// Trial tells how many quarantined requests were let through.
 type Trial struct {
-	Part  string       `cbor:"1,keyasint"`
-	Count int          `cbor:"2,keyasint,omitempty"`
-	Wait  clock.Millis `cbor:"3,keyasint,omitempty"` // until the next one
+	ID     string       `cbor:"1,keyasint"`
+	Count  int          `cbor:"2,keyasint,omitempty"`
+	Wait   clock.Millis `cbor:"3,keyasint,omitempty"` // until the next one
+	Failed int          `cbor:"4,keyasint,omitempty"` // under which a target crashed
 }
 
-// Report is what an instance tells the others about parts of prompts.
+// Report is what an instance tells the others about requests and parts of prompts.
 type Report struct {
 	Crashes []Crash  `cbor:"1,keyasint,omitempty"`
-	Sound   []string `cbor:"2,keyasint,omitempty"` // suspected parts that were answered
 	Trials  []Trial  `cbor:"3,keyasint,omitempty"`
+	Answers []Answer `cbor:"4,keyasint,omitempty"`
 }
 
 // split returns reports of at most maxReportEntries entries of each kind.
 func (r Report) split() []Report {
 	var reports []Report
-	for len(r.Crashes)+len(r.Sound)+len(r.Trials) > 0 {
+	for len(r.Crashes)+len(r.Answers)+len(r.Trials) > 0 {
 		var next Report
 		next.Crashes, r.Crashes = cut(r.Crashes)
-		next.Sound, r.Sound = cut(r.Sound)
+		next.Answers, r.Answers = cut(r.Answers)
 		next.Trials, r.Trials = cut(r.Trials)
 		reports = append(reports, next)
 	}
@@ -59,46 +66,47 @@
 	return nil
 }
 
-// quarantineReport returns crashes for which parts are quarantined, as many as fit into one report. The parts come in random
-// order, so that each has its turn if there are many.
+// quarantineReport returns crashes for which suspects are quarantined, as many as fit into one report. They come in random order,
+// so that each has its turn if there are many.
 func (t *Tracker) quarantineReport() Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire()
 	var r Report
 	now := t.Now()
-	for part, s := range t.suspects {
+	for id, s := range t.suspects {
 		if !s.quarantined || len(r.Crashes)+crashesToQuarantine > maxReportEntries {
 			continue
 		}
 		separate := s.separateCrashes(nil)
 		for _, c := range separate[max(0, len(separate)-crashesToQuarantine):] {
-			r.Crashes = append(r.Crashes, Crash{Part: part, Target: c.target, Age: now - c.at})
+			r.Crashes = append(r.Crashes, Crash{ID: id, Target: c.target, Age: now - c.at})
 		}
-		r.Trials = append(r.Trials, Trial{Part: part, Count: s.trials, Wait: s.trialAt - now})
+		r.Trials = append(r.Trials, Trial{ID: id, Count: s.trials, Failed: s.failed, Wait: s.trialAt - now})
 	}
 	return r
 }
 
-// Receive applies the report of another instance. If it suspects a part that was answered here, the others are told.
+// Receive applies the report of another instance. If it suspects what was answered here since, the others are told.
 func (t *Tracker) Receive(r Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Now()
-	for _, part := range r.Sound {
-		t.markSound(part)
+	for _, a := range r.Answers {
+		t.markSound(a.ID, now-a.Age)
 	}
 	for _, c := range r.Crashes {
-		if t.knownSound(c.Part) {
-			t.pending.Sound = append(t.pending.Sound, c.Part)
-			t.schedule(flushDelay)
+		if crashed := now - c.Age; !t.knownSound(c.ID, crashed) {
+			t.addCrash(c.ID, crash{c.Target, crashed})
 			continue
 		}
-		t.addCrash(c.Part, crash{c.Target, now - c.Age})
+		answered, _ := t.sound.get(c.ID)
+		t.pending.Answers = append(t.pending.Answers, Answer{ID: c.ID, Age: answered}) // flush replaces the time by the age
+		t.schedule(flushDelay)
 	}
 	for _, trial := range r.Trials {
-		if s := t.suspects[trial.Part]; s != nil && s.quarantined && trial.Count > s.trials {
-			s.trials, s.trialAt = trial.Count, now+trial.Wait
+		if s := t.suspects[trial.ID]; s != nil && s.quarantined && trial.Count+trial.Failed > s.trials+s.failed {
+			s.trials, s.failed, s.trialAt = trial.Count, trial.Failed, now+trial.Wait
 		}
 	}
 }
@@ -113,6 +121,9 @@
 	for n := range pending.Crashes {
 		pending.Crashes[n].Age = now - pending.Crashes[n].Age
 	}
+	for n := range pending.Answers {
+		pending.Answers[n].Age = now - pending.Answers[n].Age
+	}
 	for n := range pending.Trials {
 		pending.Trials[n].Wait -= now
 	}
--- a/internal/blame/request_test.go
+++ b/internal/blame/request_test.go
@@ -97,7 +97,7 @@
 	for n := range crashesToQuarantine {
 		f.crashRequest(fmt.Sprint("target", n), map[int][]string{0: {fatalRequest}, 1: {soundRequest}})
 	}
-	f.now += firstTrialWait
+	f.now += clock.Second
 	_, quarantined := f.trackers[1].Quarantined([]string{soundRequest})
 	is.True(!quarantined)
 	f.trackers[1].RecordAnswer([]string{soundRequest})
@@ -148,8 +148,9 @@
 	for n := range 2 * maxSuspects {
 		f.crashRequest("other", map[int][]string{0: {fmt.Sprint("=", n)}})
 	}
-	is.True(len(f.trackers[0].suspects) <= maxSuspects)
-	is.Equal(f.quarantines(fatalRequest), 1)
+	suspects := f.trackers[0].suspects
+	is.True(len(suspects) <= maxSuspects)
+	is.True(suspects[fatalRequest] != nil && suspects[fatalRequest].quarantined)
 }
 
 // What is repeated makes an instance that has restarted refuse a fatal request, also one whose crashes came at once.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -198,7 +198,7 @@
 		return "", false
 	}
 	if !s.answering && kind == Broken {
-		s.relay.Blame.RecordCrash(s.SharedParts, p.Target.ID)
+		s.relay.Blame.RecordCrash(s.blamed, p.Target.ID)
 	}
 	p.End(board.Failed)
 	countFailedAttempt(string(kind))
@@ -236,11 +236,19 @@
 	return "error", false
 }
 
-// recordAnswering records that the engine of the current attempt answers the prompt, so that no part of it is fatal.
+// recordAnswering records that the target of the current attempt answers the request, so that neither it nor a part of its prompt is
+// fatal.
 func (s *requestState) recordAnswering() {
 	if !s.answering {
 		s.answering = true
-		s.relay.Blame.RecordAnswer(s.SharedParts)
+		s.relay.Blame.RecordAnswer(s.blamed)
+	}
+}
+
+// recordAnswered records a complete answer, unless it may be a rejection of a request that has not run.
+func (s *requestState) recordAnswered(status int) {
+	if status/100 == http.StatusOK/100 {
+		s.recordAnswering()
 	}
 }
 
@@ -264,9 +272,7 @@
 	if !whole {
 		return s.forwardLarge(p, answer, body)
 	}
-	if answer.Status == http.StatusOK {
-		s.recordAnswering()
-	}
+	s.recordAnswered(answer.Status)
 	p.End(board.Succeeded)
 	s.writeAnswer(answer, body)
 	return "answered", false
@@ -280,6 +286,7 @@
 	limit := int64(maxAnswerBytes - len(first))
 	copied, err := io.Copy(s.w, io.LimitReader(answer.Body, limit))
 	if err == nil && copied < limit {
+		s.recordAnswered(answer.Status)
 		p.End(board.Succeeded)
 		return "answered", false
 	}
--- a/internal/relay/deadly_test.go
+++ b/internal/relay/deadly_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -69,3 +70,19 @@
 	}
 	is.Equal(target.sent, 6)
 }
+
+// Guards against: a request whose answers are long, or have another status than 200, is suspected though it is answered each time.
+func TestAnswerClearsRequest(t *testing.T) {
+	is := is.New(t)
+	broken := failWith(Broken)
+	for _, answered := range []attemptFunc{answerWith(http.StatusCreated, "booked"), answerWith(http.StatusOK, strings.Repeat("x", 2*maxBufferedBytes))} {
+		target := &fakeTarget{attempts: []attemptFunc{broken, broken, answered, broken, broken, answered}}
+		relay, _ := newRelay(t, target.send)
+		now := clock.Now()
+		relay.Blame.Now = func() clock.Millis { now += clock.Second; return now }
+		for n := range 6 {
+			serveAgain(relay, Request{Kind: AtMostOnce, Method: "POST", Path: "/book/", MaxAttempts: 1}, n)
+		}
+		is.Equal(target.sent, 6)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,7 +36,7 @@
 	Send func(ctx context.Context, r Request, p *board.Placement, lastEventID int) (*Answer, error)
 	// Tickets reserves memory on helpers for prompts that are too large for one engine.
 	Tickets *ticket.Manager
-	// Blame learns which parts of prompts crash engines.
+	// Blame learns which requests and parts of prompts crash targets.
 	Blame *blame.Tracker
 	// Refuse writes the answer to a caller that gets no answer from a target.
 	Refuse func(w http.ResponseWriter, r Request, refusal Refusal)
@@ -49,7 +49,8 @@
 // requestState is the state of one request across its attempts.
 type requestState struct {
 	Request
-	print               string          // its fingerprint
+	print               string          // its id for package blame, by its fingerprint
+	blamed              []string        // all ids of it for package blame
 	ctx                 context.Context // of the whole request
 	relay               *Relay
 	w                   http.ResponseWriter
@@ -84,7 +85,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline().Time())
 	defer cancel()
-	s := &requestState{Request: r, print: r.fingerprint(), ctx: ctx, relay: rl, w: w, exclude: make(map[string]bool), lastEventID: r.LastEventID}
+	s := &requestState{Request: r, ctx: ctx, relay: rl, w: w, exclude: make(map[string]bool), lastEventID: r.LastEventID}
+	s.print = blame.Request(r.fingerprint())
+	s.blamed = append([]string{s.print}, r.SharedParts...)
 	rl.Budget(r.Service).RecordRequest()
 	s.recordOutcome(s.serve(ctx))
 	if s.abortConn {
@@ -119,7 +122,7 @@
 		if s.deadline()-clock.Now() < minTimeLeft {
 			return s.refuseForDeadline()
 		}
-		if wait, quarantined := s.relay.Blame.Quarantined(s.SharedParts); quarantined {
+		if wait, quarantined := s.relay.Blame.Quarantined(s.blamed); quarantined {
 			return s.refuseFor(Quarantined, wait)
 		}
 		p, err := s.relay.Place(s.placementRequirements(s.exclude))
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -259,7 +260,7 @@
 		now += clock.Second
 		defer func() { _ = recover() }()
 		r := Request{ID: "r", Service: "desk", Kind: Stream, MaxAttempts: 1, SharedParts: []string{"part"}, Arrived: clock.Now(), Deadline: clock.Now() + clock.Second}
-		r.OperatorDeadline = r.Deadline
+		r.OperatorDeadline, r.Path = r.Deadline, fmt.Sprint("/read/", target.sent) // no two are alike, so that only the part is judged
 		relay.Serve(context.Background(), httptest.NewRecorder(), r)
 	}
 	for range 5 { // two early breaks, an answer, and two breaks that come too soon after it to count
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"encoding/base64"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,10 +10,7 @@
 	"github.com/corianderpier/corianderpier/internal/clock"
 )
 
-const (
-	fingerprintBytes  = 12  // of the hash
-	fingerprintPrefix = "=" // with which no id of a part of a prompt begins
-)
+const fingerprintBytes = 12 // of a hash, which travel between instances
 
 // Kind tells how a request is answered and whether it may be retried.
 type Kind uint8
@@ -43,6 +39,7 @@
 	PromptTokens     int          // zero for a plain service
 	MaxOutputTokens  int          // limit of generated tokens
 	SharedParts      []string     // ids of the parts of the prompt, without the last one, which no other request shares
+	PartList         string       // all parts of the prompt, as the caller names them
 	FirstEventSLO    clock.Millis // objective for the time to the first event
 	EventGapSLO      clock.Millis // objective for the longest gap between events
 	Arrived          clock.Millis // time at which it arrived
@@ -58,13 +55,13 @@
 func (r Request) retryable() bool { return r.Kind == Idempotent || r.Kind == Stream && r.Resumable }
 
 // fingerprint returns what is the same for a request that its caller sends again with another id.
-func (r Request) fingerprint() string {
+func (r Request) fingerprint() []byte {
 	hash := sha256.New()
-	for _, field := range []string{r.Method, r.Host, r.Path, r.Customer} {
+	for _, field := range []string{r.Method, r.Host, r.Path, r.Customer, r.PartList} {
 		_, _ = fmt.Fprintf(hash, "%d:%s", len(field), field)
 	}
 	_, _ = hash.Write(r.Body)
-	return fingerprintPrefix + base64.RawURLEncoding.EncodeToString(hash.Sum(nil)[:fingerprintBytes])
+	return hash.Sum(nil)[:fingerprintBytes]
 }
 
 // placementRequirements returns what the board needs to know to place the next attempt; exclude are ids of targets.
