--- a/internal/blame/request_test.go
+++ b/internal/blame/request_test.go
@@ -164,3 +164,29 @@
 	f.repeat(0)
 	is.Equal(f.quarantines(fatalRequest), 2)
 }
+
+// Guards against: a trial that reached no target, as where all of them are down, makes the next one as rare as if it had failed again.
+func TestTrialWithoutOutcome(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	for n := range crashesToQuarantine {
+		f.crashRequest(fmt.Sprint("target", n), map[int][]string{0: {soundRequest}})
+	}
+	f.now += clock.Second
+	for range 5 {
+		is.Equal(f.letThrough(soundRequest), 1)
+		is.Equal(f.letThrough(soundRequest), 0)
+		f.now += 8 * clock.Second
+	}
+}
+
+// Sound requests, which are many, cost neither memory nor datagrams.
+func TestSoundRequestsNotKept(t *testing.T) {
+	is := is.New(t)
+	tracker := newFleet(1).trackers[0]
+	for n := range 100 {
+		tracker.RecordAnswer([]string{fmt.Sprint("=", n)})
+	}
+	is.Equal(len(tracker.sound.current)+len(tracker.sound.previous), 0)
+	is.Equal(len(tracker.pending.Answers), 0)
+}
