blame: Let refused callers return at different moments

The time that a refused caller is told is spread over a second. TestRefusedCallersReturnApart failed before: all times were alike.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/base64"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -20,6 +21,7 @@
 	minCrashGap         = 100 * clock.Millis(1) // crashes closer together count as one, as a host or a rack fails with all its targets
 	sameCrashWindow     = clock.Second          // within which reports about one target are about the same crash
 	soundTime           = clock.Minute          // after an answer, for which a part is not suspected
+	returnSpread        = clock.Second          // over which refused callers return, as each instance lets one through until it hears of another's
 	forgetAfter         = clock.Hour            // after its last crash or refusal, when a suspect is forgotten
 	maxSuspects         = 1024                  // that are kept; of those that are not quarantined the ones with the oldest crashes go first
 	maxCrashes          = 16                    // of a suspect that are kept
@@ -62,7 +64,7 @@
 		}
 	}
 	if wait > 0 {
-		return wait, true
+		return wait + rand.N(returnSpread), true
 	}
 	for _, id := range ids {
 		if s := t.suspects[id]; s != nil && s.quarantined {
--- a/internal/blame/request_test.go
+++ b/internal/blame/request_test.go
@@ -190,3 +190,21 @@
 	is.Equal(len(tracker.sound.current)+len(tracker.sound.previous), 0)
 	is.Equal(len(tracker.pending.Answers), 0)
 }
+
+// Guards against: all callers of a fatal request, refused until the same moment, return then to several instances, which let one
+// through each.
+func TestRefusedCallersReturnApart(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	for n := range crashesToQuarantine {
+		f.crashRequest(fmt.Sprint("target", n), map[int][]string{0: {fatalRequest}})
+	}
+	waits := make(map[clock.Millis]bool)
+	for range 100 {
+		wait, quarantined := f.trackers[0].Quarantined([]string{fatalRequest})
+		is.True(quarantined)
+		is.True(wait >= clock.Second && wait < 2*clock.Second)
+		waits[wait/100] = true
+	}
+	is.True(len(waits) > 5)
+}
