blame: Quarantine a fatal part as soon as before

A request now explains the crashes of a part, and of another request, only if it has more of them.

Both are refused then until more is known. The trial of the request says nothing of its parts, so it is not theirs: another request with the part is let through, and its answer clears it.

All ids of a crash or report are recorded before anything is decided: in between, the request had one crash more, and the part was released and quarantined anew.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -53,7 +53,8 @@
 }
 
 // Quarantined reports whether a request is to be refused, as it or a part of its prompt is quarantined, and when the caller may try
-// again. From time to time it lets a request through on trial, and tells the other instances.
+// again. From time to time it lets a request through on trial, and tells the other instances. Of the ids, that of the request as a
+// whole comes first.
 func (t *Tracker) Quarantined(ids []string) (wait clock.Millis, quarantined bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -66,13 +67,24 @@
 	if wait > 0 {
 		return wait + rand.N(returnSpread), true
 	}
+	t.startTrials(ids)
+	return 0, false
+}
+
+// startTrials begins the trials for which a request is let through. One that is quarantined as a whole tells nothing of its parts,
+// which other requests show to be sound.
+func (t *Tracker) startTrials(ids []string) {
 	for _, id := range ids {
-		if s := t.suspects[id]; s != nil && s.quarantined {
-			s.startTrial(now)
-			t.announceTrial(id, s)
+		s := t.suspects[id]
+		if s == nil || !s.quarantined {
+			continue
+		}
+		s.startTrial(t.Now())
+		t.announceTrial(id, s)
+		if s.whole {
+			return
 		}
 	}
-	return 0, false
 }
 
 // announceTrial tells the other instances that a quarantined request is let through.
@@ -86,13 +98,17 @@
 func (t *Tracker) RecordAnswer(ids []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.Now()
+	now, suspected := t.Now(), false
 	for _, id := range ids {
 		if t.markSound(id, now) {
+			suspected = true
 			t.pending.Answers = append(t.pending.Answers, Answer{ID: id, Age: now}) // flush replaces the time by the age
 			t.schedule(flushDelay)
 		}
 	}
+	if suspected {
+		t.reevaluate()
+	}
 }
 
 // RecordCrash records that a target ended the connection of a request before it had answered.
@@ -106,6 +122,7 @@
 			t.schedule(flushDelay)
 		}
 	}
+	t.reevaluate()
 }
 
 // markSound records an answer to a request with an id. It reports whether the id was suspected. Of requests as a whole, which are
@@ -126,7 +143,6 @@
 	if len(s.crashes) == 0 {
 		delete(t.suspects, id)
 	}
-	t.reevaluate()
 	return true
 }
 
@@ -155,7 +171,6 @@
 	}
 	s.add(c)
 	s.failTrial(t.Now())
-	t.reevaluate()
 	return true
 }
 
@@ -166,7 +181,7 @@
 	*suspect
 }
 
-// compare orders candidates by what they explain: those with the most crashes first, and requests before the parts of their prompts.
+// compare orders candidates by what they explain, see reevaluate.
 func (c candidate) compare(other candidate) int {
 	switch {
 	case c.crashes != other.crashes:
@@ -180,13 +195,15 @@
 	}
 }
 
-// reevaluate decides anew what is quarantined. The candidate with the most crashes goes first and explains these, so that they do
-// not count against those that were only on the same targets. Of requests with as many crashes none explains another.
+// reevaluate decides anew what is quarantined, after all ids of a crash or an answer are recorded. The candidate with the most
+// crashes goes first and explains these, so that they do not count against those that were only on the same targets. Of those with
+// as many, a part explains another one, since refusing a part costs many callers; a request explains nothing, as it and a part of
+// its prompt cannot be told apart.
 func (t *Tracker) reevaluate() {
 	var explained, tied []crash
 	var last candidate
 	for _, c := range t.candidates() {
-		if !c.whole || c.crashes != last.crashes {
+		if c.crashes != last.crashes {
 			explained, tied = append(explained, tied...), nil
 		}
 		last = c
@@ -194,7 +211,11 @@
 			t.release(c.id, c.suspect)
 			continue
 		}
-		tied = append(tied, c.suspect.crashes...)
+		if c.whole {
+			tied = append(tied, c.suspect.crashes...)
+		} else {
+			explained = append(explained, c.suspect.crashes...)
+		}
 		t.quarantine(c.id, c.suspect)
 	}
 }
--- a/internal/blame/report.go
+++ b/internal/blame/report.go
@@ -104,6 +104,7 @@
 		t.pending.Answers = append(t.pending.Answers, Answer{ID: c.ID, Age: answered}) // flush replaces the time by the age
 		t.schedule(flushDelay)
 	}
+	t.reevaluate()
 	for _, trial := range r.Trials {
 		if s := t.suspects[trial.ID]; s != nil && s.quarantined && trial.Count+trial.Failed > s.trials+s.failed {
 			s.trials, s.failed, s.trialAt = trial.Count, trial.Failed, now+trial.Wait
--- a/internal/blame/request_test.go
+++ b/internal/blame/request_test.go
@@ -208,3 +208,34 @@
 	}
 	is.True(len(waits) > 5)
 }
+
+// Guards against: a fatal part is noticed late, as the first three crashes were those of one request with it, which is blamed instead.
+func TestFatalPartNotHiddenByRequest(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	for n := range crashesToQuarantine {
+		f.crash(fmt.Sprint("target", n), map[int][]string{n: {fatalRequest, "fatal"}})
+	}
+	is.Equal(f.quarantines("fatal"), 3)
+	is.Equal(f.quarantines(fatalRequest), 3)
+}
+
+// Guards against: the trial of a fatal request makes a sound part of its prompt, which cannot be told apart from it, refused for long.
+func TestTrialOfRequestLeavesPart(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	for n := range crashesToQuarantine {
+		f.crash(fmt.Sprint("target", n), map[int][]string{n: {fatalRequest, "sound"}})
+	}
+	f.now += clock.Second
+	_, quarantined := f.trackers[0].Quarantined([]string{fatalRequest, "sound"})
+	is.True(!quarantined)
+	f.crash("target4", map[int][]string{0: {fatalRequest, "sound"}})
+	is.Equal(f.quarantines(fatalRequest), 3)
+	_, quarantined = f.trackers[1].Quarantined([]string{"=other", "sound"})
+	is.True(!quarantined)
+	f.trackers[1].RecordAnswer([]string{"=other", "sound"})
+	f.settle()
+	is.Equal(f.quarantines("sound"), 0)
+	is.Equal(f.quarantines(fatalRequest), 3)
+}
