blame: Let one instance hold each trial

Copies of a fatal request that come to several instances at one moment were let through by each of them: none had heard of the others' trials. In TestFatalCopiesContained, three copies at once five times a second, three instances began the first trial together, and four workers crashed after the third crash and 3 s (three allowed).

TestOneInstanceHoldsTrial lets three through without the comparison.

--- a/internal/blame/report.go
+++ b/internal/blame/report.go
@@ -27,6 +27,7 @@
 	Count  int          `cbor:"2,keyasint,omitempty"`
 	Wait   clock.Millis `cbor:"3,keyasint,omitempty"` // until the next one
 	Failed int          `cbor:"4,keyasint,omitempty"` // under which a target crashed
+	Claim  uint32       `cbor:"5,keyasint,omitempty"` // to the latest one
 }
 
 // Report is what an instance tells the others about requests and parts of prompts.
@@ -82,7 +83,7 @@
 		for _, c := range separate[max(0, len(separate)-crashesToQuarantine):] {
 			r.Crashes = append(r.Crashes, Crash{ID: id, Target: c.target, Age: now - c.at})
 		}
-		r.Trials = append(r.Trials, Trial{ID: id, Count: s.trials, Failed: s.failed, Wait: s.trialAt - now})
+		r.Trials = append(r.Trials, Trial{ID: id, Count: s.trials, Failed: s.failed, Claim: s.claim, Wait: s.trialAt - now})
 	}
 	return r
 }
@@ -106,8 +107,8 @@
 	}
 	t.reevaluate()
 	for _, trial := range r.Trials {
-		if s := t.suspects[trial.ID]; s != nil && s.quarantined && trial.Count+trial.Failed > s.trials+s.failed {
-			s.trials, s.failed, s.trialAt = trial.Count, trial.Failed, now+trial.Wait
+		if s := t.suspects[trial.ID]; s != nil && s.quarantined {
+			s.hear(trial, now)
 		}
 	}
 }
--- a/internal/blame/request_test.go
+++ b/internal/blame/request_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -239,3 +240,30 @@
 	is.Equal(f.quarantines("sound"), 0)
 	is.Equal(f.quarantines(fatalRequest), 3)
 }
+
+// Guards against: instances to which copies of a fatal request come at the same moment let one through each, as none has heard of
+// the others' trials.
+func TestOneInstanceHoldsTrial(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	for n := range crashesToQuarantine {
+		f.crashRequest(fmt.Sprint("target", n), map[int][]string{n: {fatalRequest}})
+	}
+	f.now += 2 * clock.Second
+	let := make(chan bool, len(f.trackers))
+	for _, tracker := range f.trackers {
+		go func() {
+			_, quarantined := tracker.Quarantined([]string{fatalRequest})
+			let <- !quarantined
+		}()
+	}
+	time.Sleep(claimTime.Duration() / 2)
+	f.settle()
+	passed := 0
+	for range f.trackers {
+		if <-let {
+			passed++
+		}
+	}
+	is.Equal(passed, 1)
+}
--- a/internal/blame/suspect.go
+++ b/internal/blame/suspect.go
@@ -1,6 +1,7 @@
 package blame
 
 import (
+	"math/rand/v2"
 	"slices"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
@@ -24,6 +25,7 @@
 	quarantined bool         // there are enough crashes
 	trials      int          // requests that instances have let through though they were to be refused
 	failed      int          // trials under which a target crashed; of the others nothing is known, as when they reached none
+	claim       uint32       // to the latest trial; the highest one holds
 	trialAt     clock.Millis // when the next one is
 	asked       clock.Millis // when a request with the id last came
 }
@@ -47,6 +49,7 @@
 // startTrial begins a trial. The next one is as late as if it fails.
 func (s *suspect) startTrial(now clock.Millis) {
 	s.trials++
+	s.claim = rand.Uint32()
 	s.waitForTrial(now, s.failed+1)
 }
 
@@ -58,6 +61,16 @@
 	}
 }
 
+// hear applies what another instance tells of the trials. Of two that began the same one, the highest claim holds.
+func (s *suspect) hear(trial Trial, now clock.Millis) {
+	switch count, known := trial.Count+trial.Failed, s.trials+s.failed; {
+	case count > known:
+		s.trials, s.failed, s.claim, s.trialAt = trial.Count, trial.Failed, trial.Claim, now+trial.Wait
+	case count == known:
+		s.claim = max(s.claim, trial.Claim)
+	}
+}
+
 // crashGap returns the time between crashes that count as separate. Prompts on all targets of a host may share a part, but few
 // targets have the same request.
 func (s *suspect) crashGap() clock.Millis {
