--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -208,7 +208,7 @@
 		return "", noFollowUp
 	}
 	if !s.answering && kind == Broken {
-		s.relay.Blame.RecordCrash(s.SharedParts, a.placement.Target.ID)
+		s.relay.Blame.RecordCrash(s.blamed, a.placement.Target.ID)
 	}
 	a.placement.End(board.Failed)
 	countFailedAttempt(string(kind))
@@ -236,7 +236,7 @@
 // logFailure logs an attempt that has failed, or that was ended here.
 func (s *requestState) logFailure(a *attempt, kind ErrorKind, err error) {
 	slog.Info("attempt failed", "request", s.ID, "target", a.placement.Target.ID, "kind", kind, "error", err.Error(), "ended", s.ctx.Err() != nil,
-		"silent_ms", int64(clock.Now()-s.progressAt), "events", s.eventsForwarded-s.eventsBefore, "parts", s.SharedParts)
+		"silent_ms", int64(clock.Now()-s.progressAt), "events", s.eventsForwarded-s.eventsBefore, "parts", s.SharedParts, "print", s.print)
 }
 
 // takeRetry reports whether the request may be sent to one more target, and deducts the retry from the budget.
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -213,7 +213,7 @@
 	if !s.Request.resumes(since) || s.deadline()-clock.Now() < minTimeLeft {
 		return nil
 	}
-	if _, quarantined := s.relay.Blame.Quarantined(s.SharedParts); quarantined {
+	if _, quarantined := s.relay.Blame.Quarantined(s.blamed); quarantined {
 		return nil
 	}
 	placement, err := s.relay.Place(s.placementRequirements(since, w.exclude))
@@ -255,7 +255,7 @@
 		p.End(board.Unreachable)
 	default:
 		if kind == Broken {
-			s.relay.Blame.RecordCrash(s.SharedParts, p.Target.ID)
+			s.relay.Blame.RecordCrash(s.blamed, p.Target.ID)
 		}
 		p.End(board.Failed)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,7 +37,7 @@
 	Send func(ctx context.Context, r Request, p *board.Placement, lastEventID int) (*Answer, error)
 	// Tickets reserves memory on helpers for prompts that are too large for one engine.
 	Tickets *ticket.Manager
-	// Blame learns which parts of prompts crash engines.
+	// Blame learns which requests and parts of prompts crash targets.
 	Blame *blame.Tracker
 	// Refuse writes the answer to a caller that gets no answer from a target.
 	Refuse func(w http.ResponseWriter, r Request, refusal Refusal)
@@ -51,6 +51,8 @@
 type requestState struct {
 	Request
 	sharedProgress
+	print               string          // its id for package blame, by its fingerprint
+	blamed              []string        // all ids of it for package blame
 	ctx                 context.Context // of the whole request
 	relay               *Relay
 	w                   http.ResponseWriter
@@ -82,6 +84,8 @@
 	defer cancel()
 	s := &requestState{Request: r, ctx: ctx, relay: rl, w: w, exclude: make(map[string]bool)}
 	s.lastEventID = r.LastEventID
+	s.print = blame.Request(r.fingerprint())
+	s.blamed = append([]string{s.print}, r.SharedParts...)
 	rl.Budget(r.Service).RecordRequest()
 	s.recordOutcome(s.serve(ctx))
 	if s.abortConn {
@@ -105,7 +109,7 @@
 	metrics.GetOrCreateHistogram(`pier_relay_seconds{service="` + s.Service + `"}`).Update(float64(took) / 1000)
 	slog.Info("request", "request", s.ID, "service", s.Service, "customer", s.Customer, "config", s.ConfigVersion,
 		"outcome", outcome, "cut", s.abortConn, "target", s.target, "limit", s.rateLimit, "helpers", s.helpers, "sent", s.attemptsSent, "unreachable", s.unreachableTargets,
-		"prompt", s.PromptTokens, "parts", s.SharedParts, "predicted_ms", int64(s.predictedFirstEvent), "first_ms", int64(s.timeToFirstEvent), "aim_ms", int64(s.FirstEventSLO),
+		"prompt", s.PromptTokens, "parts", s.SharedParts, "print", s.print, "predicted_ms", int64(s.predictedFirstEvent), "first_ms", int64(s.timeToFirstEvent), "aim_ms", int64(s.FirstEventSLO),
 		"events", s.eventsForwarded, "pause_ms", int64(s.longestGap), "pause_aim_ms", int64(s.EventGapSLO),
 		"left_ms", int64(s.Deadline-clock.Now()), "took_ms", int64(took))
 }
@@ -116,7 +120,7 @@
 		if s.deadline()-clock.Now() < minTimeLeft {
 			return s.refuseForDeadline()
 		}
-		if wait, quarantined := s.relay.Blame.Quarantined(s.SharedParts); quarantined {
+		if wait, quarantined := s.relay.Blame.Quarantined(s.blamed); quarantined {
 			return s.refuseFor(Quarantined, wait)
 		}
 		p, err := s.relay.Place(s.placementRequirements(s.progress, s.exclude))
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"crypto/sha256"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -8,6 +10,8 @@
 	"github.com/corianderpier/corianderpier/internal/clock"
 )
 
+const fingerprintBytes = 12 // of a hash, which travel between instances
+
 // Kind tells how a request is answered and whether it may be retried.
 type Kind uint8
 
@@ -35,6 +39,7 @@
 	PromptTokens     int          // zero for a plain service
 	MaxOutputTokens  int          // limit of generated tokens
 	SharedParts      []string     // ids of the parts of the prompt, without the last one, which no other request shares
+	PartList         string       // all parts of the prompt, as the caller names them
 	FirstEventSLO    clock.Millis // objective for the time to the first event
 	EventGapSLO      clock.Millis // objective for the longest gap between events
 	Arrived          clock.Millis // time at which it arrived
@@ -49,6 +54,16 @@
 // retryable reports whether the request may be sent again after a target may have run it.
 func (r Request) retryable() bool { return r.Kind == Idempotent || r.Kind == Stream && r.Resumable }
 
+// fingerprint returns what is the same for a request that its caller sends again with another id.
+func (r Request) fingerprint() []byte {
+	hash := sha256.New()
+	for _, field := range []string{r.Method, r.Host, r.Path, r.Customer, r.PartList} {
+		_, _ = fmt.Fprintf(hash, "%d:%s", len(field), field)
+	}
+	_, _ = hash.Write(r.Body)
+	return hash.Sum(nil)[:fingerprintBytes]
+}
+
 // resumes reports whether another target may go on with an answer that has got so far. A stream that the caller has a part of must
 // have got to an event with an id.
 func (r Request) resumes(p progress) bool { return r.retryable() && (!p.responseStarted || p.numbered) }
--- a/internal/relay/whole.go
+++ b/internal/relay/whole.go
@@ -65,9 +65,7 @@
 	if !whole {
 		return s.forwardLarge(a, body)
 	}
-	if a.answer.Status == http.StatusOK {
-		s.recordAnswering()
-	}
+	s.recordAnswered(a.answer.Status)
 	a.placement.End(board.Succeeded)
 	s.writeAnswer(a.answer, body)
 	return "answered", noFollowUp
@@ -80,6 +78,7 @@
 	limit := int64(maxAnswerBytes - len(first))
 	copied, err := io.Copy(s.w, io.LimitReader(a.answer.Body, limit))
 	if err == nil && copied < limit {
+		s.recordAnswered(a.answer.Status)
 		a.placement.End(board.Succeeded)
 		return "answered", noFollowUp
 	}
@@ -96,10 +95,18 @@
 	_, _ = s.w.Write(body)
 }
 
-// recordAnswering records that the engine of the current attempt answers the prompt, so that no part of it is fatal.
+// recordAnswering records that the target of the current attempt answers the request, so that neither it nor a part of its prompt is
+// fatal.
 func (s *requestState) recordAnswering() {
 	if !s.answering {
 		s.answering = true
-		s.relay.Blame.RecordAnswer(s.SharedParts)
+		s.relay.Blame.RecordAnswer(s.blamed)
+	}
+}
+
+// recordAnswered records a complete answer, unless it may be a rejection of a request that has not run.
+func (s *requestState) recordAnswered(status int) {
+	if status/100 == http.StatusOK/100 {
+		s.recordAnswering()
 	}
 }
