platform, relay: Answer what is open at the end of a planned stop

What callers would see: a request without an answer shortly before the end of the grace period was cut, also one that may run once at most and had reached a worker. With a grace period under 4 s the instance went on taking requests until that moment.

Cause: the stop waited for the requests in progress and then ended the process. Nothing told the relay, so that no caller got an answer. New requests were taken for 3 s whatever the grace period, and the margin before the kill was 0.9 s whatever it was. Ports were closed after the control loop and the calls between instances had ended, and one after the other with 0.45 s each, 1.8 s in all, the callers' last.

A stream that has begun is cut, as before; it cannot be ended so that it looks incomplete otherwise.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -42,10 +42,16 @@
 	Refuse func(w http.ResponseWriter, r Request, refusal Refusal)
 	// Budget returns the retry budget of a service.
 	Budget func(service string) *retry.Budget
+	// OnStop arranges for a function to be called when the instance stops, and returns what undoes that. A request that has no
+	// answer then is refused, rather than cut off a little later.
+	OnStop func(f func()) (undo func() bool)
 	// RetryAfter returns how long a refused caller is to wait before it tries again.
 	RetryAfter func(r Request, reason Reason) clock.Millis
 }
 
+// errStopped is why the context of a request ends when the instance stops.
+var errStopped = eris.New("the instance stops")
+
 // requestState is the state of one request across its attempts.
 type requestState struct {
 	Request
@@ -83,6 +89,11 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline().Time())
 	defer cancel()
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	if rl.OnStop != nil {
+		defer rl.OnStop(func() { stop(errStopped) })()
+	}
 	s := &requestState{Request: r, ctx: ctx, relay: rl, w: w, exclude: make(map[string]bool), lastEventID: r.LastEventID}
 	rl.Budget(r.Service).RecordRequest()
 	s.recordOutcome(s.serve(ctx))
@@ -137,7 +148,7 @@
 			return s.giveUp(ctx)
 		}
 		if ctx.Err() != nil {
-			return s.refuseForDeadline()
+			return s.giveUp(ctx)
 		}
 	}
 }
@@ -146,6 +157,8 @@
 // the connection if the caller has disconnected.
 func (s *requestState) giveUp(ctx context.Context) string {
 	switch {
+	case eris.Is(context.Cause(ctx), errStopped):
+		return s.refuse(Stopped)
 	case eris.Is(ctx.Err(), context.Canceled):
 		return s.abort("caller_gone")
 	case ctx.Err() != nil:
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -90,6 +90,7 @@
 	Malformed    Reason = "malformed"     // the request is invalid
 	Quarantined  Reason = "quarantined"   // engines crashed under a part of the prompt, see package blame
 	Draining     Reason = "draining"      // the instance shuts down, and might not finish the request
+	Stopped      Reason = "stopped"       // the instance shut down before there was an answer
 )
 
 // Refusal is the answer to a caller that gets none from a target.
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -103,6 +103,7 @@
 	"no_target":     "refused: no target of the service was listed; look for log lines of the feed servers",
 	"not_ready":     "refused: the instance had no configuration yet",
 	"draining":      "refused: the instance was shutting down and was no longer named to callers; it has not run",
+	"stopped":       "the instance shut down before there was an answer; it has not run, unless the caller got 502",
 	"no_route":      "the active configuration had no such route",
 	"no_key":        "the active configuration had no such key",
 	"refused":       "each target that was tried reported that it had not run the request",
