member: Ignore what cannot be true of an instance

What callers would see: another program that writes into the kind of the instances can name one with any capacity, which then counts as enough for all callers, or name a running instance as dead in the last incarnation, which it cannot refute as the next one is zero.

Cause: only the name of a member was checked.

Change: members with overlong texts, unknown states, incarnations from 2^62 on or capacities out of range are counted and left out, wherever they come from: the store, lists and datagrams of peers.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -217,9 +217,10 @@
 	}
 }
 
-// mergeMember applies a statement about an instance unless a newer one is known.
+// mergeMember applies a statement about an instance unless it is invalid or a newer one is known.
 func (g *Group) mergeMember(m Member) {
-	if m.Name == "" {
+	if !m.valid() {
+		metrics.GetOrCreateCounter("pier_member_invalid_total").Inc()
 		return
 	}
 	if m.Name == g.Self.Name {
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -38,6 +38,25 @@
 	Capacity         float64 `cbor:"8,keyasint,omitempty" json:"capacity,omitempty"` // processing power in cores; zero if unknown
 }
 
+// Limits on what is believed of an instance.
+const (
+	maxNameBytes   = 256     // of its name and of each other text
+	maxIncarnation = 1 << 62 // incarnations are times in milliseconds, and can be raised far above that
+	maxCapacity    = 1 << 20 // in cores
+)
+
+// valid reports whether what is said of an instance can be true, as lists from the store and from peers may have been written by
+// other programs.
+func (m Member) valid() bool {
+	for _, text := range []string{m.Name, m.Zone, m.Addr, m.PeerAddr} {
+		if len(text) > maxNameBytes {
+			return false
+		}
+	}
+	return m.Name != "" && m.State <= Dead && m.Incarnation < maxIncarnation && m.FirstIncarnation < maxIncarnation &&
+		m.Capacity >= 0 && m.Capacity <= maxCapacity
+}
+
 // WithState returns a copy with another state.
 func (m Member) WithState(s State) Member {
 	m.State = s
