platform, board: Heed what engines say in any read of their report

What callers saw: an engine that says in its report that it leaves, or that turns the read away for a time, was heeded only if the whole report could be read, and not at all when it was asked whether a lease is in use. Requests went on to it.

Cause: the notice was returned beside the report; an error dropped it, and leaseInUse ignored it.

--- a/internal/board/probe.go
+++ b/internal/board/probe.go
@@ -18,7 +18,6 @@
 // Report is the state that a target reports when it is asked.
 type Report struct {
 	Slowdown float64 // actual duration as a multiple of what the model predicts, at least 1
-	Notice   Notice
 }
 
 // ProbeResult is the result of a probe, as instances broadcast it.
@@ -47,8 +46,6 @@
 			report, err := b.Probe(ctx, t)
 			if err != nil {
 				slog.Info("target probe failed", "target", t.ID, "error", err.Error())
-			} else if report.Notice != (Notice{}) {
-				b.RecordNotice(t, report.Notice)
 			}
 			answers <- ProbeResult{Target: t.ID, Slowdown: report.Slowdown, Down: err != nil}
 		}()
