ticket, board, platform: Lease no memory of engines that have closed meanwhile

What callers saw: the leases of a split prompt are acquired one engine after the other, which may take a second and a half. An engine that asked for quiet or said that it leaves in that time still got the order for a lease, and the prompt or its part; one that leaves turns its part away.

Cause: only the placement asked whether a target is closed.

--- a/internal/board/leave.go
+++ b/internal/board/leave.go
@@ -55,6 +55,17 @@
 	}
 }
 
+// Closed reports whether a target takes no new requests.
+func (b *Board) Closed(target string) bool {
+	closed := true
+	b.Loop.Call(func() {
+		if s := b.targets[target]; s != nil {
+			closed = s.closed(clock.Now())
+		}
+	})
+	return closed
+}
+
 // closeLeaving closes a target that has said that it leaves, and reports whether that is news. It is open again when the list
 // says of it that it has started anew, or is ready after it was not.
 func (b *Board) closeLeaving(id string, born clock.Millis) bool {
--- a/internal/ticket/error.go
+++ b/internal/ticket/error.go
@@ -7,6 +7,7 @@
 const (
 	Refused  Kind = "taken"  // the engine does not grant the memory, or the call is invalid
 	NoAnswer Kind = "silent" // the engine did not answer, so it may have carried the call out
+	Closed   Kind = "closed" // the engine takes no new requests
 )
 
 // Error is a failed call to an engine.
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -44,6 +44,8 @@
 	MaxIdleTime func() clock.Millis
 	// InUse asks an engine whether a request uses a lease.
 	InUse func(ctx context.Context, l Lease) (bool, error)
+	// Closed reports whether an engine takes no new requests, and so no new leases; nil if all engines do.
+	Closed func(l Lease) bool
 }
 
 // leaseTime returns the duration of a lease.
@@ -80,11 +82,19 @@
 	acquiring, cancel := context.WithTimeout(ctx, (m.leaseTime() / 2).Duration()) // the first lease is renewed only after the last one
 	defer cancel()
 	for n, l := range ordered {
+		if m.closed(l) {
+			m.release(ordered[:n])
+			return nil, &Error{Op: "reserve", Kind: Closed, Target: l.Target}
+		}
 		if err := m.acquire(acquiring, l); err != nil {
 			m.release(ordered[:n+1])
 			return nil, err
 		}
 	}
+	if n := slices.IndexFunc(ordered, m.closed); n >= 0 { // since it was asked
+		m.release(ordered)
+		return nil, &Error{Op: "reserve", Kind: Closed, Target: ordered[n].Target}
+	}
 	metrics.GetOrCreateCounter(`pier_ticket_events_total{event="held"}`).Inc()
 	renewing, stop := context.WithCancel(context.WithoutCancel(ctx))
 	set := &LeaseSet{manager: m, leases: ordered, stop: stop}
@@ -92,6 +102,16 @@
 	return set, nil
 }
 
+// closed reports whether an engine takes no new leases; that is counted and logged.
+func (m *Manager) closed(l Lease) bool {
+	if m.Closed == nil || !m.Closed(l) {
+		return false
+	}
+	metrics.GetOrCreateCounter(`pier_ticket_events_total{event="closed"}`).Inc()
+	slog.Info("memory lease given up, engine takes no requests", "ticket", l.ID, "target", l.Target)
+	return true
+}
+
 // acquire acquires one lease; a failure is counted and logged.
 func (m *Manager) acquire(ctx context.Context, l Lease) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
--- a/internal/ticket/ticket_test.go
+++ b/internal/ticket/ticket_test.go
@@ -145,3 +145,35 @@
 		set.Release()
 	}
 }
+
+// Guards against: a prompt is sent although one of its engines has closed while the leases were acquired, or a closed engine is
+// asked for a lease.
+func TestClosedEngine(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		closed   string
+		after    int // calls of Reserve after which the engine is closed
+		reserves int
+	}{
+		{"first, before", "one", 0, 0},
+		{"second, meanwhile", "two", 1, 1},
+		{"first, meanwhile", "one", 1, 2},
+		{"second, after its lease", "two", 2, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e := &fakeEngines{}
+			m := e.manager()
+			m.Closed = func(l Lease) bool {
+				e.mu.Lock()
+				defer e.mu.Unlock()
+				return l.Target == c.closed && e.reserves >= c.after
+			}
+			_, err := m.Acquire(context.Background(), testLeases)
+			is.True(err != nil)
+			is.Equal(e.reserves, c.reserves)
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(e.count(), 0)
+		})
+	}
+}
