ticket, board, platform: Send few orders to engines that want no requests

What callers saw: an engine that has asked an instance for quiet got a renewal of each lease from it every 0.9 s, and a release that it turned away up to eight times within 2.4 s.

Renewals that are due reach the engine still, as the request there needs its memory. One read of the report per attempt (leaseInUse) is left as it is. Not bounded: several split prompts on one engine each send their own orders.

--- a/internal/board/leave.go
+++ b/internal/board/leave.go
@@ -66,6 +66,17 @@
 	return closed
 }
 
+// QuietTime returns for how long a target wants no requests from this instance.
+func (b *Board) QuietTime(target string) clock.Millis {
+	var left clock.Millis
+	b.Loop.Call(func() {
+		if s := b.targets[target]; s != nil {
+			left = max(0, s.quietUntil-clock.Now())
+		}
+	})
+	return left
+}
+
 // closeLeaving closes a target that has said that it leaves, and reports whether that is news. It is open again when the list
 // says of it that it has started anew, or is ready after it was not.
 func (b *Board) closeLeaving(id string, born clock.Millis) bool {
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -17,6 +17,7 @@
 const (
 	defaultMaxUnused   = 4 * clock.Second      // if Manager.MaxUnusedTime gives none
 	defaultMaxIdle     = 9 * clock.Second      // if Manager.MaxIdleTime gives none
+	defaultMaxLease    = 10 * clock.Second     // if Manager.MaxLeaseTime gives none
 	idleShare          = 0.75                  // of the maximum idle time, after which leases are checked; the rest allows for the check and the release
 	leaseShare         = 0.75                  // of the maximum unused time; the rest allows for a last renewal that reaches the engine late
 	renewalsPerLease   = 3.5                   // calls within one lease, so that it survives the loss of some
@@ -46,6 +47,10 @@
 	InUse func(ctx context.Context, l Lease) (bool, error)
 	// Closed reports whether an engine takes no new requests, and so no new leases; nil if all engines do.
 	Closed func(l Lease) bool
+	// QuietTime returns for how long an engine wants no requests; nil if none asks for that.
+	QuietTime func(l Lease) clock.Millis
+	// MaxLeaseTime returns the longest lease that engines grant; nil or zero selects the default.
+	MaxLeaseTime func() clock.Millis
 }
 
 // leaseTime returns the duration of a lease.
@@ -57,6 +62,28 @@
 	return clock.Millis(leaseShare * float64(maxUnused))
 }
 
+// renewInterval returns the time between two renewals of a lease.
+func (m *Manager) renewInterval() clock.Millis {
+	return clock.Millis(float64(m.leaseTime()) / renewalsPerLease)
+}
+
+// quietTime returns for how long an engine wants no requests.
+func (m *Manager) quietTime(l Lease) clock.Millis {
+	if m.QuietTime == nil {
+		return 0
+	}
+	return m.QuietTime(l)
+}
+
+// quietLeaseTime returns the duration of a lease that is renewed while its engine wants no requests for so long.
+func (m *Manager) quietLeaseTime(quiet clock.Millis) clock.Millis {
+	maxLease := defaultMaxLease
+	if m.MaxLeaseTime != nil && m.MaxLeaseTime() > 0 {
+		maxLease = m.MaxLeaseTime()
+	}
+	return max(m.leaseTime(), min(quiet+m.leaseTime(), maxLease))
+}
+
 // IdleLimit returns the time after which leases that no request uses are to be given up.
 func (m *Manager) IdleLimit() clock.Millis {
 	maxIdle := defaultMaxIdle
@@ -71,6 +98,7 @@
 	manager *Manager
 	leases  []Lease
 	stop    context.CancelFunc
+	expiry  []atomic.Int64 // of each lease, in milliseconds
 }
 
 // Acquire acquires all leases or none; the error is that of the first one that could not be acquired.
@@ -79,6 +107,7 @@
 // while at once each could get what another one lacks.
 func (m *Manager) Acquire(ctx context.Context, leases []Lease) (*LeaseSet, error) {
 	ordered := slices.SortedFunc(slices.Values(leases), func(a, b Lease) int { return cmp.Compare(a.Target, b.Target) })
+	set := &LeaseSet{manager: m, leases: ordered, expiry: make([]atomic.Int64, len(ordered))}
 	acquiring, cancel := context.WithTimeout(ctx, (m.leaseTime() / 2).Duration()) // the first lease is renewed only after the last one
 	defer cancel()
 	for n, l := range ordered {
@@ -90,6 +119,7 @@
 			m.release(ordered[:n+1])
 			return nil, err
 		}
+		set.expiry[n].Store(int64(clock.Now() + m.leaseTime()))
 	}
 	if n := slices.IndexFunc(ordered, m.closed); n >= 0 { // since it was asked
 		m.release(ordered)
@@ -97,7 +127,7 @@
 	}
 	metrics.GetOrCreateCounter(`pier_ticket_events_total{event="held"}`).Inc()
 	renewing, stop := context.WithCancel(context.WithoutCancel(ctx))
-	set := &LeaseSet{manager: m, leases: ordered, stop: stop}
+	set.stop = stop
 	go set.renew(renewing)
 	return set, nil
 }
@@ -126,22 +156,40 @@
 
 // renew renews the leases periodically until they are released.
 func (s *LeaseSet) renew(ctx context.Context) {
-	interval := clock.Millis(float64(s.manager.leaseTime()) / renewalsPerLease)
-	clock.Every(ctx, interval, func() {
-		for _, l := range s.leases {
-			go s.renewLease(ctx, l)
+	clock.Every(ctx, s.manager.renewInterval(), func() {
+		for n := range s.leases {
+			go s.renewLease(ctx, n)
 		}
 	})
 }
 
-// renewLease renews one lease once; a failure is logged and left to the next renewal.
-func (s *LeaseSet) renewLease(ctx context.Context, l Lease) {
+// renewLease renews one lease once, if it is due; a failure is logged and left to the next renewal.
+func (s *LeaseSet) renewLease(ctx context.Context, n int) {
+	l, duration := s.leases[n], s.manager.leaseTime()
+	now := clock.Now()
+	if quiet := s.manager.quietTime(l); quiet > 0 {
+		if !s.due(n, now, quiet) {
+			return
+		}
+		duration = s.manager.quietLeaseTime(quiet)
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
-	if err := s.manager.Reserve(ctx, l, s.manager.leaseTime()); err != nil && ctx.Err() == nil {
-		metrics.GetOrCreateCounter(`pier_ticket_events_total{event="not_renewed"}`).Inc()
-		slog.Info("memory lease not renewed", "ticket", l.ID, "target", l.Target, "error", err.Error())
+	if err := s.manager.Reserve(ctx, l, duration); err != nil {
+		if ctx.Err() == nil {
+			metrics.GetOrCreateCounter(`pier_ticket_events_total{event="not_renewed"}`).Inc()
+			slog.Info("memory lease not renewed", "ticket", l.ID, "target", l.Target, "error", err.Error())
+		}
+		return
 	}
+	s.expiry[n].Store(int64(now + duration))
+}
+
+// due reports whether a lease has to be renewed although its engine wants no requests for so long: it ends before that time is
+// over, and soon.
+func (s *LeaseSet) due(n int, now, quiet clock.Millis) bool {
+	left, interval := clock.Millis(s.expiry[n].Load())-now, s.manager.renewInterval()
+	return left < quiet+interval && left < 2*interval
 }
 
 // Idle reports whether an engine says that no request uses its lease. One that does not answer counts as if it were in use.
@@ -178,7 +226,7 @@
 }
 
 // releaseUntilConfirmed retries the release of a lease until the engine confirms it; after maxReleaseAttempts the lease is
-// left to expire.
+// left to expire. An engine that wants no requests is asked once, and again when it takes them.
 func (m *Manager) releaseUntilConfirmed(l Lease) {
 	for range maxReleaseAttempts {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout.Duration())
@@ -187,7 +235,7 @@
 		if err == nil {
 			return
 		}
-		time.Sleep(releaseRetryDelay.Duration())
+		time.Sleep(max(releaseRetryDelay, m.quietTime(l)).Duration())
 	}
 	slog.Warn("memory lease not released, left to expire", "ticket", l.ID, "target", l.Target)
 }
--- a/internal/ticket/ticket_test.go
+++ b/internal/ticket/ticket_test.go
@@ -177,3 +177,110 @@
 		})
 	}
 }
+
+// quietEngine is an engine that wants no requests until some time, and grants leases of up to a maximum.
+type quietEngine struct {
+	mu       sync.Mutex
+	until    clock.Millis
+	max      clock.Millis
+	turnAway bool           // it does not release a lease until then
+	orders   []clock.Millis // when orders arrived
+	expiry   clock.Millis   // of the lease
+	expired  bool           // the lease expired before it was renewed
+	released bool
+}
+
+func (e *quietEngine) manager(leaseTime clock.Millis) *Manager {
+	return &Manager{
+		MaxUnusedTime: func() clock.Millis { return clock.Millis(float64(leaseTime) / leaseShare) },
+		MaxLeaseTime:  func() clock.Millis { return e.max },
+		QuietTime: func(Lease) clock.Millis {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return max(0, e.until-clock.Now())
+		},
+		Reserve: func(_ context.Context, _ Lease, duration clock.Millis) error {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			now := clock.Now()
+			e.orders = append(e.orders, now)
+			e.expired = e.expired || e.expiry > 0 && now > e.expiry || duration > e.max
+			e.expiry = now + duration
+			return nil
+		},
+		Release: func(_ context.Context, l Lease) error {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			now := clock.Now()
+			e.orders = append(e.orders, now)
+			if e.turnAway && now < e.until {
+				return &Error{Op: "release", Kind: Refused, Target: l.Target}
+			}
+			e.released = true
+			return nil
+		},
+	}
+}
+
+// quietOrders returns how many orders arrived from some time on until the engine took requests again.
+func (e *quietEngine) quietOrders(from clock.Millis) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, at := range e.orders {
+		if at >= from && at < e.until {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against: an engine that wants no requests for a while gets each renewal of a lease, or the lease of a request that runs
+// there expires, in that time or after it.
+func TestRenewalsInQuietTime(t *testing.T) {
+	const leaseTime, quiet = 600 * clock.Millis(1), 1500 * clock.Millis(1)
+	for name, c := range map[string]struct {
+		maxLease clock.Millis
+		orders   int
+	}{"one long lease": {10 * clock.Second, 1}, "several": {clock.Second, 2}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := &quietEngine{max: c.maxLease}
+			set, err := e.manager(leaseTime).Acquire(context.Background(), testLeases[:1])
+			is.NoErr(err)
+			asked := clock.Now() + 1
+			e.mu.Lock()
+			e.until = asked + quiet
+			e.mu.Unlock()
+			time.Sleep((quiet + 2*leaseTime).Duration())
+			set.Release()
+			is.True(e.quietOrders(asked) >= 1)
+			is.True(e.quietOrders(asked) <= c.orders)
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			is.True(!e.expired)
+			is.True(e.expiry > clock.Now() && e.expiry <= clock.Now()+leaseTime)
+		})
+	}
+}
+
+// Guards against: an engine that wants no requests for a while, and turns the release of a lease away, is asked again and again
+// in that time, or not after it.
+func TestReleaseInQuietTime(t *testing.T) {
+	const quiet = 1500 * clock.Millis(1)
+	is := is.New(t)
+	e := &quietEngine{max: clock.Minute, turnAway: true}
+	set, err := e.manager(3*clock.Second).Acquire(context.Background(), testLeases[:1])
+	is.NoErr(err)
+	asked := clock.Now() + 1
+	e.mu.Lock()
+	e.until = asked + quiet
+	e.mu.Unlock()
+	time.Sleep(10 * time.Millisecond)
+	set.Release()
+	time.Sleep((quiet + releaseRetryDelay).Duration())
+	is.Equal(e.quietOrders(asked), 1)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	is.True(e.released)
+}
