relay, board, platform: Tell a request that the last target turned away when to come back

What callers saw: when all workers of a service have asked for quiet, requests are refused at once with the shortest time left.

Change: a request that may not be sent again and has not run asks the board for how long all targets of its service want no requests, and is told that time if it is longer than the usual one.

Failed before (with the change taken out): TestTurnedAwayByLast, Retry-After 0.1 s (the test's usual time) instead of 5 s. The first request of the test, while the other target is open, is told the usual time, before and after.

--- a/internal/board/leave.go
+++ b/internal/board/leave.go
@@ -77,6 +77,19 @@
 	return left
 }
 
+// ServiceQuietTime returns the time until the first target of a service takes requests, if all want none for a while; else zero.
+// A target that has only reached its rate limit takes one sooner.
+func (b *Board) ServiceQuietTime(service string) clock.Millis {
+	var short shortage
+	b.Loop.Call(func() {
+		var open []*targetState
+		if open, short = b.eligibleTargets(clock.Now(), Requirements{Service: service}, anyCell); len(open) > 0 || short.limited {
+			short = shortage{}
+		}
+	})
+	return short.quiet
+}
+
 // closeLeaving closes a target that has said that it leaves, and reports whether that is news. It is open again when the list
 // says of it that it has started anew, or is ready after it was not.
 func (b *Board) closeLeaving(id string, born clock.Millis) bool {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -44,6 +44,9 @@
 	Budget func(service string) *retry.Budget
 	// RetryAfter returns how long a refused caller is to wait before it tries again.
 	RetryAfter func(r Request, reason Reason) clock.Millis
+	// QuietTime returns for how long all targets of a service want no requests; zero if one takes some now. Nil if none asks for
+	// that.
+	QuietTime func(service string) clock.Millis
 }
 
 // requestState is the state of one request across its attempts.
@@ -153,10 +156,20 @@
 	case s.mayHaveRun:
 		return s.refuse(TargetFailed)
 	default:
-		return s.refuse(Refused)
+		return s.refuseTurnedAway()
 	}
 }
 
+// refuseTurnedAway refuses a request that its targets have turned away. If all targets of the service want no requests now, the
+// caller is to come back when the first of them takes some.
+func (s *requestState) refuseTurnedAway() string {
+	retryAfter := s.relay.RetryAfter(s.Request, Refused)
+	if s.relay.QuietTime != nil {
+		retryAfter = max(retryAfter, s.relay.QuietTime(s.Service))
+	}
+	return s.refuseFor(Refused, retryAfter)
+}
+
 // refuseForDeadline refuses a request whose deadline has passed or is too near for another attempt.
 func (s *requestState) refuseForDeadline() string {
 	if s.mayHaveRun {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -91,7 +91,7 @@
 	budget := &retry.Budget{Limits: func() retry.Limits { return retry.Limits{Extra: 10, Window: clock.Second} }, Now: clock.Now}
 	return &Relay{
 		Place: b.Place, Send: send, Blame: &blame.Tracker{Now: clock.Now, After: func(clock.Millis, func()) {}, Broadcast: func(blame.Report) {}}, Budget: func(string) *retry.Budget { return budget },
-		RetryAfter: func(Request, Reason) clock.Millis { return 100 },
+		RetryAfter: func(Request, Reason) clock.Millis { return 100 }, QuietTime: b.ServiceQuietTime,
 		Refuse: func(w http.ResponseWriter, _ Request, refusal Refusal) {
 			if refusal.MayHaveRun {
 				w.WriteHeader(http.StatusBadGateway)
@@ -274,3 +274,27 @@
 	_, quarantined = relay.Blame.Quarantined([]string{"part"})
 	is.True(quarantined)
 }
+
+// Guards against: a request that the last target turns away, as all want no requests for a while, and that may not be sent once
+// more, is told to come back before one takes it, or while another target takes requests, to wait.
+func TestTurnedAwayByLast(t *testing.T) {
+	is := is.New(t)
+	quiet := map[string]clock.Millis{"one": 8 * clock.Second, "two": 5 * clock.Second}
+	relay, _ := newRelay(t, func(_ context.Context, _ Request, p *board.Placement, _ int) (*Answer, error) {
+		answer, err := answerNotRun(Request{}, 0)
+		answer.Notice = board.Notice{Quiet: quiet[p.Target.ID]}
+		return answer, err
+	})
+	var refusals []Refusal
+	relay.Refuse = func(_ http.ResponseWriter, _ Request, refusal Refusal) { refusals = append(refusals, refusal) }
+	for range 2 {
+		r := Request{ID: "r", Service: "desk", Kind: Idempotent, MaxAttempts: 1, Arrived: clock.Now(), Deadline: clock.Now() + clock.Second}
+		r.OperatorDeadline = r.Deadline
+		relay.Serve(context.Background(), httptest.NewRecorder(), r)
+	}
+	is.Equal(len(refusals), 2)
+	is.Equal(refusals[0], Refusal{Reason: Refused, RetryAfter: 100})
+	is.Equal(refusals[1].Reason, Refused)
+	is.True(!refusals[1].MayHaveRun)
+	is.True(refusals[1].RetryAfter > 4*clock.Second && refusals[1].RetryAfter <= 5*clock.Second)
+}
