--- a/internal/board/leave_test.go
+++ b/internal/board/leave_test.go
@@ -31,6 +31,49 @@
 	p.End(Succeeded) // the answer that is under way is not affected
 }
 
+// Guards against: an engine that leaves, as its answer or another instance says, or that wants no requests, prefills parts of
+// prompts or is probed.
+func TestClosedEngineHelpsNobody(t *testing.T) {
+	for name, c := range map[string]struct {
+		notice Notice
+		closed []bool // whether it is closed to each instance
+	}{
+		"leaving": {Notice{Leaving: true}, []bool{true, true}},
+		"quiet":   {Notice{Quiet: clock.Minute}, []bool{true, false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			boards := newBoards(t, 2, 4)
+			p := placeOn(t, boards[0], short, "engine-0")
+			p.RecordNotice(c.notice)
+			p.End(Succeeded)
+			boards[0].Loop.Call(func() {})
+			waitDelivered(boards)
+			for n, b := range boards {
+				b.Loop.Call(func() { b.Broadcast = func([]byte) {} }) // its requests do not concern the other instance
+				used, helpers := false, 0
+				for range 20 {
+					p := place(t, b, long)
+					helpers += len(p.Helpers)
+					used = used || p.Target.ID == "engine-0" || p.FindHelper("engine-0") != ""
+					p.End(Succeeded)
+				}
+				is.True(helpers > 0)
+				is.Equal(used, !c.closed[n])
+				var probed atomic.Bool
+				probe(b, func(target string) (float64, error) {
+					if target == "engine-0" {
+						probed.Store(true)
+					}
+					return 1, nil
+				})
+				is.Equal(probed.Load(), !c.closed[n])
+				is.Equal(b.Closed("engine-0"), c.closed[n])
+			}
+		})
+	}
+}
+
 // Guards against: a target that wants no requests from one instance gets none from the others either, or a part of a prompt or
 // a probe from the one.
 func TestQuietOfOneInstance(t *testing.T) {
