--- a/internal/board/leave_test.go
+++ b/internal/board/leave_test.go
@@ -131,6 +131,28 @@
 	is.Equal(place(t, b, plain).Target.ID, "one")
 }
 
+// Guards against: a target that started anew, or moved, is left alone since it wanted no requests before, or one whose entry is
+// listed once more is not.
+func TestQuietUntilNextStart(t *testing.T) {
+	old := Target{ID: "one", Service: "desk", Slots: 6, Addr: "10.0.0.1:1", Born: 1}
+	reborn, moved := old, old
+	reborn.Born, moved.Addr = 2, "10.0.0.2:1"
+	for name, listed := range map[string]Target{"same start": old, "started anew": reborn, "moved": moved} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBoards(t, 1, 0)[0]
+			b.ReplaceTargets([]Target{old}, ListTrust{})
+			p := place(t, b, plain)
+			p.RecordNotice(Notice{Quiet: clock.Minute})
+			p.End(Failed)
+			b.ReplaceTargets([]Target{listed}, ListTrust{})
+			_, err := b.Place(plain)
+			is.Equal(err == nil, listed != old)
+			is.Equal(b.ServiceQuietTime("desk") > 0, listed == old)
+		})
+	}
+}
+
 // Guards against: an instance that has started since a target left believes an older list which names it, or does not use the
 // next start of the target.
 func TestDoubtToldToOthers(t *testing.T) {
