--- a/internal/board/leave_test.go
+++ b/internal/board/leave_test.go
@@ -31,6 +31,49 @@
 	p.End(Succeeded) // the answer that is under way is not affected
 }
 
+// Guards against: an engine that leaves, as its answer or another instance says, or that wants no requests, prefills parts of
+// prompts or is probed.
+func TestClosedEngineHelpsNobody(t *testing.T) {
+	for name, c := range map[string]struct {
+		notice Notice
+		closed []bool // whether it is closed to each instance
+	}{
+		"leaving": {Notice{Leaving: true}, []bool{true, true}},
+		"quiet":   {Notice{Quiet: clock.Minute}, []bool{true, false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			boards := newBoards(t, 2, 4)
+			p := placeOn(t, boards[0], short, "engine-0")
+			p.RecordNotice(c.notice)
+			p.End(Succeeded)
+			boards[0].Loop.Call(func() {})
+			waitDelivered(boards)
+			for n, b := range boards {
+				b.Loop.Call(func() { b.Broadcast = func([]byte) {} }) // its requests do not concern the other instance
+				used, helpers := false, 0
+				for range 20 {
+					p := place(t, b, long)
+					helpers += len(p.Helpers)
+					used = used || p.Target.ID == "engine-0" || p.FindHelper("engine-0") != ""
+					p.End(Succeeded)
+				}
+				is.True(helpers > 0)
+				is.Equal(used, !c.closed[n])
+				var probed atomic.Bool
+				probe(b, func(target string) (float64, error) {
+					if target == "engine-0" {
+						probed.Store(true)
+					}
+					return 1, nil
+				})
+				is.Equal(probed.Load(), !c.closed[n])
+				is.Equal(b.Closed("engine-0"), c.closed[n])
+			}
+		})
+	}
+}
+
 // Guards against: a target that wants no requests from one instance gets none from the others either, or a part of a prompt or
 // a probe from the one.
 func TestQuietOfOneInstance(t *testing.T) {
@@ -88,6 +131,28 @@
 	is.Equal(place(t, b, plain).Target.ID, "one")
 }
 
+// Guards against: a target that started anew, or moved, is left alone since it wanted no requests before, or one whose entry is
+// listed once more is not.
+func TestQuietUntilNextStart(t *testing.T) {
+	old := Target{ID: "one", Service: "desk", Slots: 6, Addr: "10.0.0.1:1", Born: 1}
+	reborn, moved := old, old
+	reborn.Born, moved.Addr = 2, "10.0.0.2:1"
+	for name, listed := range map[string]Target{"same start": old, "started anew": reborn, "moved": moved} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBoards(t, 1, 0)[0]
+			b.ReplaceTargets([]Target{old}, ListTrust{})
+			p := place(t, b, plain)
+			p.RecordNotice(Notice{Quiet: clock.Minute})
+			p.End(Failed)
+			b.ReplaceTargets([]Target{listed}, ListTrust{})
+			_, err := b.Place(plain)
+			is.Equal(err == nil, listed != old)
+			is.Equal(b.ServiceQuietTime("desk") > 0, listed == old)
+		})
+	}
+}
+
 // Guards against: an instance that has started since a target left believes an older list which names it, or does not use the
 // next start of the target.
 func TestDoubtToldToOthers(t *testing.T) {
