--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -14,12 +14,16 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/limit"
 )
 
 // MaxValueBytes is the size limit of a value in the object API.
 const MaxValueBytes = 1 << 20
 
-const defaultTimeout = 2 * clock.Second
+const (
+	defaultTimeout = 2 * clock.Second
+	maxListBytes   = 4 << 20 // of the response to a list
+)
 
 // Object is one version of a named value.
 type Object struct {
@@ -72,8 +76,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, &Error{Op: op, Kind: Unavailable, Err: eris.New(resp.Status)}
 	}
+	data, err := limit.ReadAll(resp.Body, maxListBytes)
+	if err != nil {
+		return nil, &Error{Op: op, Kind: Unavailable, Err: err}
+	}
 	var objects []Object
-	if err := json.NewDecoder(resp.Body).Decode(&objects); err != nil {
+	if err := json.Unmarshal(data, &objects); err != nil {
 		return nil, &Error{Op: op, Kind: Malformed, Err: err}
 	}
 	return objects, nil
@@ -170,7 +178,7 @@
 	if err != nil {
 		return Object{}, err
 	}
-	value, err := io.ReadAll(io.LimitReader(resp.Body, MaxValueBytes+1))
+	value, err := limit.ReadAll(resp.Body, MaxValueBytes)
 	if err != nil {
 		return Object{}, &Error{Op: op, Kind: Unavailable, Err: err}
 	}
