pier: Bound what is read of an instance's answers

Cause: addresses and results were decoded without a limit in bytes until the call's time was over; of a streamed answer only a line had one, so that lines without text kept a request until its caller gave up. Change: limits for each, the head too; what is longer counts as broken.

--- a/pkg/pier/client.go
+++ b/pkg/pier/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/corianderpier/corianderpier/internal/limit"
 	"github.com/corianderpier/corianderpier/pkg/wire"
 )
 
@@ -23,6 +24,10 @@
 	addressesTimeout   = time.Second // for one request for addresses
 	maxEventBytes      = 1 << 20     // in a line of a streamed answer
 	maxProblemBytes    = 64 << 10
+	maxAddressesBytes  = 1 << 20  // of an answer with addresses
+	maxAnswerBytes     = 16 << 20 // of the result of a call, or of the text of a prompt's answer
+	maxSilentBytes     = 64 << 10 // of a streamed answer between two frames with text
+	maxHeaderBytes     = 64 << 10 // of an answer
 	defaultMaxTries    = 4
 	idleTimeout        = 3 * time.Second  // without a line of a streamed answer; an instance sends at least a comment each second
 	uploadTimePerByte  = time.Microsecond // added to idleTimeout for each byte of a prompt
@@ -125,8 +130,8 @@
 			return err
 		}
 		defer func() { _ = resp.Body.Close() }()
-		if err := json.NewDecoder(resp.Body).Decode(&result); err != nil {
-			return &Error{Op: "call", Kind: Broken, Err: err, Problem: wire.Problem{Ran: wire.RanUnknown}}
+		if err := decodeBody(resp.Body, maxAnswerBytes, &result); err != nil {
+			return brokenError("call", err)
 		}
 		return nil
 	}, &tries)
@@ -284,10 +289,19 @@
 		return wire.Addresses{}, eris.New(resp.Status)
 	}
 	var answer wire.Addresses
-	err = json.NewDecoder(resp.Body).Decode(&answer)
+	err = decodeBody(resp.Body, maxAddressesBytes, &answer)
 	return answer, err
 }
 
+// decodeBody decodes a body of at most the given number of bytes.
+func decodeBody(body io.Reader, most int64, into any) error {
+	data, err := limit.ReadAll(body, most)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, into)
+}
+
 // streamAnswer sends the prompt to one address and reads the streamed answer. It returns an error unless the answer is
 // complete.
 func (c *Client) streamAnswer(ctx context.Context, addr string, body []byte, start time.Time) (Answer, error) {
@@ -304,11 +318,16 @@
 	answer := Answer{Entry: addr}
 	var text bytes.Buffer
 	isError := false
+	silentBytes := 0 // since the last frame with text
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 4096), maxEventBytes)
 	for lines.Scan() {
 		idleTimer.Reset(idleTimeout)
 		line := lines.Bytes()
+		if silentBytes > maxSilentBytes {
+			return Answer{}, brokenError("complete", eris.New("too much without text"))
+		}
+		silentBytes += len(line) + 1
 		if string(line) == "event: "+wire.EventError {
 			isError = true
 			continue
@@ -327,7 +346,12 @@
 		if answer.TimeToFirstToken == 0 {
 			answer.TimeToFirstToken = time.Since(start)
 		}
-		text.WriteString(frame.Text)
+		if text.WriteString(frame.Text); text.Len() > maxAnswerBytes {
+			return Answer{}, brokenError("complete", limit.ErrTooLong)
+		}
+		if frame.Text != "" {
+			silentBytes = 0
+		}
 		if frame.Done {
 			if frame.Total != text.Len() {
 				return Answer{}, brokenError("complete", eris.New("answer ends before its total length"))
@@ -387,6 +411,7 @@
 		dialer := &net.Dialer{Timeout: dialTimeout}
 		c.http = &http.Client{Transport: &http.Transport{
 			DialContext: dialer.DialContext, TLSClientConfig: c.TLS, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		}}
 	})
 	return c.http
