target: Count frames without text as silence

Cause: each frame reset the count of bytes without one, so that a target that sends frames without text kept a prompt until its deadline. Before: TestEndlessBytes/frames_without_text did not end within 10 s. After: it ends at 64 KB.

--- a/internal/target/endless_test.go
+++ b/internal/target/endless_test.go
@@ -73,6 +73,7 @@
 		"line of a stream":     {stream, okHead, "x"},
 		"comments of a stream": {stream, okHead, ": waiting\n\n"},
 		"empty lines":          {stream, okHead, "\n"},
+		"frames without text":  {stream, okHead, "data: {\"attempt\":\"a\"}\n\n"},
 		"load report":          {load, okHead, "{"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -18,12 +18,12 @@
 )
 
 const (
-	dialTimeout     = 500 * time.Millisecond
-	controlTimeout  = clock.Second // of each short call
-	maxEventBytes   = 1 << 20
-	maxAnswerBytes  = 1 << 20  // of an answer that is not a stream; a longer one fails
-	maxHeaderBytes  = 64 << 10 // of an answer
-	maxCommentBytes = 64 << 10 // between two frames of a stream; comments tell that an engine still works
+	dialTimeout    = 500 * time.Millisecond
+	controlTimeout = clock.Second // of each short call
+	maxEventBytes  = 1 << 20
+	maxAnswerBytes = 1 << 20  // of an answer that is not a stream; a longer one fails
+	maxHeaderBytes = 64 << 10 // of an answer
+	maxSilentBytes = 64 << 10 // of a stream between two frames with text; comments tell that an engine still works
 )
 
 // Client sends HTTP requests to targets.
@@ -87,20 +87,23 @@
 
 // frameChecker forwards frames that continue the answer of one attempt and rejects all others.
 type frameChecker struct {
-	attempt      string
-	offset       int // bytes of text accepted so far, counted from the start of the answer
-	complete     bool
-	commentBytes int                      // received since the last frame
-	onFrame      func(engine.Frame) error // called with each accepted frame
+	attempt     string
+	offset      int // bytes of text accepted so far, counted from the start of the answer
+	complete    bool
+	silentBytes int                      // received since the last frame with text
+	onFrame     func(engine.Frame) error // called with each accepted frame
 }
 
 // checkLine checks one line of the event stream and forwards the frame in it; lines other than data are ignored.
 func (c *frameChecker) checkLine(line []byte) error {
+	if c.silentBytes > maxSilentBytes {
+		return &Error{Op: "stream", Kind: Broken, Err: eris.Errorf("more than %d bytes without text", maxSilentBytes)}
+	}
+	c.silentBytes += len(line) + 1
 	data, ok := bytes.CutPrefix(line, []byte("data: "))
 	if !ok {
-		return c.countComment(line)
+		return nil
 	}
-	c.commentBytes = 0
 	var frame engine.Frame
 	if err := json.Unmarshal(data, &frame); err != nil {
 		return c.mismatch("malformed")
@@ -115,18 +118,13 @@
 	if frame.Done && frame.Total != next {
 		return c.mismatch("total")
 	}
+	if next > c.offset {
+		c.silentBytes = 0
+	}
 	c.offset, c.complete = next, frame.Done
 	return c.onFrame(frame)
 }
 
-// countComment fails if too much other than frames has arrived since the last frame.
-func (c *frameChecker) countComment(line []byte) error {
-	if c.commentBytes += len(line) + 1; c.commentBytes > maxCommentBytes {
-		return &Error{Op: "stream", Kind: Broken, Err: eris.Errorf("more than %d bytes without a frame", maxCommentBytes)}
-	}
-	return nil
-}
-
 // mismatch counts a rejected frame and returns the error; what is the field that differs.
 func (c *frameChecker) mismatch(what string) error {
 	metrics.GetOrCreateCounter(`pier_target_foreign_total{what="` + what + `"}`).Inc()
