--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -54,7 +54,8 @@
 	if err != nil {
 		return s, err
 	}
-	return s, json.Unmarshal(data, &s)
+	err = json.Unmarshal(data, &s)
+	return s, err
 }
 
 // Publish writes the configuration and the instance list to an object API; addrs
--- a/internal/stage/process.go
+++ b/internal/stage/process.go
@@ -40,7 +40,8 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var status entry.Status
-	return status, json.NewDecoder(resp.Body).Decode(&status)
+	err = json.NewDecoder(resp.Body).Decode(&status)
+	return status, err
 }
 
 // Metric returns the sum of all metrics whose line in the text exposition begins with
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -160,13 +160,15 @@
 // Load fetches the load report of an engine.
 func (c *Client) Load(ctx context.Context, addr string) (engine.Load, error) {
 	var load engine.Load
-	return load, c.controlCall(ctx, http.MethodGet, addr, engine.PathLoad, nil, &load)
+	err := c.controlCall(ctx, http.MethodGet, addr, engine.PathLoad, nil, &load)
+	return load, err
 }
 
 // Holdings lists the memory that an engine keeps, with the owner of each holding.
 func (c *Client) Holdings(ctx context.Context, addr string) ([]engine.Holding, error) {
 	var holdings []engine.Holding
-	return holdings, c.controlCall(ctx, http.MethodGet, addr, engine.PathHoldings, nil, &holdings)
+	err := c.controlCall(ctx, http.MethodGet, addr, engine.PathHoldings, nil, &holdings)
+	return holdings, err
 }
 
 // Release frees the memory of a stream or reservation on an engine and stops its work.
@@ -182,7 +184,8 @@
 // State fetches the current state of an engine.
 func (c *Client) State(ctx context.Context, addr string) (engine.State, error) {
 	var state engine.State
-	return state, c.controlCall(ctx, http.MethodGet, addr, engine.PathState, nil, &state)
+	err := c.controlCall(ctx, http.MethodGet, addr, engine.PathState, nil, &state)
+	return state, err
 }
 
 // Order asks an engine to change its state, over a new connection.
