peer, limit, front: Bound the messages of peers together, and in time

Cause: a request of a peer was read up to 16 MB each, up to 4096 on each connection, without a limit in time; one that was too long was not told to end, and its stream stayed open. A slow answer was read until the call's deadline. Change: 2 s from the first byte of a message to the last one, 16 MB for all that are being read, windows of 1 MB for a stream and 2 MB for a connection. What is refused is told to send no more. The budget of front's request bodies moved to package limit, and serves both. Messages have a file of their own. Before: TestEndlessRequests, 16 at once: heap grown by 379 MB (HeapSys), none told to end within 4 s; TestEndlessReplies/slow: read until the deadline. After: heap grown by 53 to 77 MB, all end within 2.1 s, and another peer's call is answered meanwhile. The tests of the store and of pier watch the heap in use too: HeapSys may shrink in a second run, and their difference was then negative. Not shown: messages near 16 MB over a slow link, which now fail after 2 s; the largest in use are member lists and target lists of some 100 KB.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,6 +18,7 @@
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/config"
 	"github.com/corianderpier/corianderpier/internal/flow"
+	"github.com/corianderpier/corianderpier/internal/limit"
 	"github.com/corianderpier/corianderpier/internal/member"
 	"github.com/corianderpier/corianderpier/pkg/wire"
 )
@@ -47,14 +48,14 @@
 	Incarnation string // makes request IDs unique across restarts
 
 	limits      concurrencyLimits
-	bodyBudget  byteBudget
+	bodyBudget  limit.Budget
 	lastRequest atomic.Uint64 // number in the ID of the last request
 	active      atomic.Int64  // requests in progress
 }
 
 // Handler returns the handler for all paths of the caller interface.
 func (s *Server) Handler() http.Handler {
-	s.bodyBudget.max = maxTotalBodyBytes
+	s.bodyBudget.Max = maxTotalBodyBytes
 	for _, reason := range wire.Reasons() {
 		refusedCounter(reason)
 	}
@@ -289,12 +290,11 @@
 		s.fail(w, id, wire.ReasonTooLarge, wire.RanNo, "the body is over "+strconv.Itoa(maxBodyBytes)+" bytes")
 		return nil, false
 	}
-	reader := &budgetReader{source: http.MaxBytesReader(w, r.Body, maxBodyBytes), budget: &s.bodyBudget}
-	release := func() { s.bodyBudget.release(reader.reserved) }
+	reader := s.bodyBudget.Reader(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	var body bytes.Buffer
 	if _, err := body.ReadFrom(reader); err != nil {
-		release()
+		reader.Release()
 		s.fail(w, id, bodyErrorReason(err), wire.RanNo, "the body could not be read")
 		return nil, false
 	}
@@ -302,16 +302,16 @@
 	decoder := json.NewDecoder(&body)
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(request); err != nil {
-		release()
+		reader.Release()
 		s.fail(w, id, wire.ReasonBadRequest, wire.RanNo, "the body is not the documented JSON: "+err.Error())
 		return nil, false
 	}
 	if _, err := decoder.Token(); err != io.EOF {
-		release()
+		reader.Release()
 		s.fail(w, id, wire.ReasonBadRequest, wire.RanNo, "the body holds more than one JSON value")
 		return nil, false
 	}
-	return release, true
+	return reader.Release, true
 }
 
 // bodyErrorReason returns the reason to give for a failed read of a body.
@@ -320,7 +320,7 @@
 	switch {
 	case eris.As(err, &large):
 		return wire.ReasonTooLarge
-	case eris.Is(err, errNoMemory):
+	case eris.Is(err, limit.ErrNoMemory):
 		return wire.ReasonEntryMemory
 	default:
 		return wire.ReasonBadRequest
--- a/internal/peer/compress.go
+++ b/internal/peer/compress.go
@@ -3,9 +3,8 @@
 import (
 	"bytes"
 	"compress/flate"
-	"io"
 
-	"github.com/rotisserie/eris"
+	"github.com/corianderpier/corianderpier/internal/limit"
 )
 
 const compressAbove = 1 << 10 // bytes of a response's body; a smaller one is not worth compressing
@@ -35,13 +34,10 @@
 	if !r.Compressed {
 		return r, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(r.Body)), maxMessageBytes+1))
+	body, err := limit.ReadAll(flate.NewReader(bytes.NewReader(r.Body)), maxMessageBytes)
 	if err != nil {
 		return r, err
 	}
-	if len(body) > maxMessageBytes {
-		return r, eris.New("answer too large")
-	}
 	r.Body, r.Compressed = body, false
 	return r, nil
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -12,18 +11,20 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
+
+	"github.com/corianderpier/corianderpier/internal/limit"
 )
 
 const (
-	maxMessageBytes   = 16 << 20 // of a request or a response
-	maxPacketBytes    = 1400     // of a datagram
+	maxPacketBytes    = 1400 // of a datagram
 	quicIdleTimeout   = 3 * time.Second
 	keepAliveInterval = time.Second
 	dialTimeout       = time.Second
 	maxStreams        = 4096
+	maxStreamWindow   = 1 << 20          // bytes of a stream that have arrived and are not read yet
+	maxConnWindow     = 2 << 20          // the same of all streams of a connection
 	idleConnTimeout   = 30 * time.Second // a connection without calls is closed after this
 	cleanupInterval   = 5 * time.Second
-	streamRejected    = quic.StreamErrorCode(1)
 )
 
 // Handler handles one kind of call from another instance; the body and the result are encoded as CBOR.
@@ -43,6 +44,7 @@
 	tls           *tls.Config
 	sentBytes     *metrics.Counter
 	receivedBytes *metrics.Counter
+	unread        limit.Budget // for messages that are being read
 
 	mu    sync.Mutex
 	conns map[string]*peerConn // by address
@@ -55,19 +57,6 @@
 	activeCalls int
 }
 
-// request is what a call sends: the kind of call and its CBOR argument.
-type request struct {
-	Kind string `cbor:"1,keyasint"`
-	Body []byte `cbor:"2,keyasint"`
-}
-
-// response is the result of a call as CBOR, or the text of the handler's error.
-type response struct {
-	Body       []byte `cbor:"1,keyasint"`
-	Error      string `cbor:"2,keyasint,omitempty"`
-	Compressed bool   `cbor:"3,keyasint,omitempty"` // the body is compressed
-}
-
 // Handle registers the handler for a kind of call. All handlers are registered before Run.
 func (n *Node) Handle(kind string, h Handler) {
 	if n.handlers == nil {
@@ -113,6 +102,7 @@
 		return &Error{Op: "listen", Kind: Setup, Err: err}
 	}
 	n.conns = make(map[string]*peerConn)
+	n.unread.Max = maxUnreadBytes
 	n.sentBytes = metrics.GetOrCreateCounter(`pier_packet_bytes_total{way="out"}`)
 	n.receivedBytes = metrics.GetOrCreateCounter(`pier_packet_bytes_total{way="in"}`)
 	return nil
@@ -176,7 +166,7 @@
 		n.discardConn(addr, pc)
 		return &Error{Op: op, Kind: NotSent, Err: err}
 	}
-	reply, err := exchange(ctx, stream, message)
+	reply, err := n.exchange(ctx, stream, message)
 	if err != nil {
 		n.discardConn(addr, pc)
 		return &Error{Op: op, Kind: NoAnswer, Err: err}
@@ -194,28 +184,6 @@
 	return nil
 }
 
-// exchange sends a message on a new stream and reads the response; the stream is reset when the context ends.
-func exchange(ctx context.Context, stream *quic.Stream, message []byte) (response, error) {
-	stop := context.AfterFunc(ctx, func() {
-		stream.CancelRead(streamRejected)
-		stream.CancelWrite(streamRejected)
-	})
-	defer stop()
-	if _, err := stream.Write(message); err != nil {
-		return response{}, err
-	}
-	if err := stream.Close(); err != nil {
-		return response{}, err
-	}
-	raw, err := io.ReadAll(io.LimitReader(stream, maxMessageBytes))
-	if err != nil {
-		return response{}, err
-	}
-	var reply response
-	err = cbor.Unmarshal(raw, &reply)
-	return reply, err
-}
-
 // getConn returns the open connection to an address or dials a new one, and counts a call on it.
 func (n *Node) getConn(ctx context.Context, addr string) (*peerConn, error) {
 	n.mu.Lock()
@@ -316,44 +284,6 @@
 	}
 }
 
-// handleStream handles the one call of a stream.
-func (n *Node) handleStream(ctx context.Context, from string, stream *quic.Stream) {
-	defer func() { _ = stream.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(stream, maxMessageBytes))
-	if err != nil {
-		stream.CancelWrite(streamRejected)
-		return
-	}
-	var req request
-	if err := cbor.Unmarshal(raw, &req); err != nil {
-		stream.CancelWrite(streamRejected)
-		return
-	}
-	var reply response
-	if h := n.handlers[req.Kind]; h == nil {
-		reply.Error = "unknown call " + req.Kind
-	} else if reply.Body, err = h(withStream(ctx, stream), from, req.Body); err != nil {
-		reply.Error = err.Error()
-	}
-	if reply, err = reply.compress(); err != nil {
-		stream.CancelWrite(streamRejected)
-		return
-	}
-	out, err := cbor.Marshal(reply)
-	if err != nil {
-		stream.CancelWrite(streamRejected)
-		return
-	}
-	_, _ = stream.Write(out)
-}
-
-// withStream returns a context that ends also when the caller resets the stream.
-func withStream(ctx context.Context, stream *quic.Stream) context.Context {
-	ctx, cancel := context.WithCancel(ctx)
-	context.AfterFunc(stream.Context(), cancel)
-	return ctx
-}
-
 // readPackets decrypts datagrams and passes them to OnPacket. Datagrams that were not made with the cluster key are counted
 // and dropped.
 func (n *Node) readPackets(ctx context.Context) {
@@ -391,5 +321,8 @@
 		MaxIdleTimeout:     quicIdleTimeout,
 		KeepAlivePeriod:    keepAliveInterval,
 		MaxIncomingStreams: maxStreams,
+
+		MaxStreamReceiveWindow:     maxStreamWindow,
+		MaxConnectionReceiveWindow: maxConnWindow,
 	}
 }
--- a/internal/store/endless_test.go
+++ b/internal/store/endless_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -42,9 +41,7 @@
 		return err
 	}
 	long, spaces := strings.Repeat("x", 64<<10), strings.Repeat(" ", 64<<10)
-	runtime.GC()
-	var before, after runtime.MemStats
-	runtime.ReadMemStats(&before)
+	heap := fake.WatchHeap()
 	t.Run("calls", func(t *testing.T) {
 		for name, c := range map[string]struct {
 			call        func(context.Context, *store.Client) error
@@ -68,8 +65,7 @@
 			})
 		}
 	})
-	runtime.ReadMemStats(&after)
-	grown := after.HeapSys - before.HeapSys
+	grown := heap()
 	t.Logf("heap grown by %d MB", grown>>20)
 	is.New(t).True(grown < maxHeapGrowth)
 }
--- a/pkg/pier/endless_test.go
+++ b/pkg/pier/endless_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -29,9 +28,7 @@
 		return err
 	}
 	long, spaces := strings.Repeat("x", 64<<10), strings.Repeat(" ", 64<<10)
-	runtime.GC()
-	var before, after runtime.MemStats
-	runtime.ReadMemStats(&before)
+	heap := fake.WatchHeap()
 	t.Run("requests", func(t *testing.T) {
 		for name, c := range map[string]struct {
 			request     func(context.Context, *Client) error
@@ -63,8 +60,7 @@
 			})
 		}
 	})
-	runtime.ReadMemStats(&after)
-	grown := after.HeapSys - before.HeapSys
+	grown := heap()
 	t.Logf("heap grown by %d MB", grown>>20)
 	is.New(t).True(grown < maxHeapGrowth)
 }
