order: Report a confirmation that is too old as late

Cause: the error kind of another instance's takeover served for it, and it was counted as an engine's refusal, though nothing was sent. Before: TestLateConfirmation: "send order: superseded", refused counted. After: kind late, event late. Left: an instance whose object API takes over 0.25 s for a read sends no order at all; that is the rule that keeps two writers apart (orderLifetime).

--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/config"
@@ -38,6 +39,7 @@
 const (
 	Unavailable Kind = "unavailable" // the object API does not answer
 	Superseded  Kind = "superseded"  // another instance writes the orders, or may do so by now
+	Late        Kind = "late"        // the confirmation that this instance is the writer was too old when the order was to be sent
 	Corrupt     Kind = "corrupt"     // a value cannot be encoded or decoded
 )
 
@@ -178,7 +180,7 @@
 			return err
 		}
 		if err := r.sendOrder(ctx, orders, t, want); err != nil {
-			countEvent("refused")
+			countEvent(failureEvent(err))
 			slog.Warn("cannot send order", "target", t.ID, "error", err)
 			continue
 		}
@@ -193,13 +195,22 @@
 	ctx, cancel := context.WithDeadline(ctx, orders.confirmedAt.Add(orderLifetime.Duration()))
 	defer cancel()
 	if time.Since(orders.confirmedAt) > maxConfirmationAge.Duration() {
-		return &Error{Op: "send order", Kind: Superseded}
+		return &Error{Op: "send order", Kind: Late}
 	}
 	countEvent("sent")
 	slog.Info("sending order", "target", t.ID, "model", want.Model, "version", want.Version, "role", want.Role, "fence", orders.stored.Term)
 	return r.SendOrder(ctx, t.Addr, engine.Order{Fence: orders.stored.Term, State: want})
 }
 
+// failureEvent returns the event to count for an order that failed: late if it was not sent.
+func failureEvent(err error) string {
+	var e *Error
+	if eris.As(err, &e) && e.Kind == Late {
+		return "late"
+	}
+	return "refused"
+}
+
 // confirmWriter checks, by the version of the stored object, that this instance is still the writer.
 func (r *Reconciler) confirmWriter(ctx context.Context, orders *serviceOrders) error {
 	if time.Since(orders.confirmedAt) < maxConfirmationAge.Duration()/2 {
