oplog: End the wait of an attempt at its own deadline

What callers saw: of two attempts of one operation, the one with the earlier deadline ended both: the other was told unknown though its operation ran in time, or not run though there was time left. Cause: expireWaiters answered all waiters when the deadline of one had passed. Change: it answers those whose deadline has passed. The operation is cancelled at its own deadline, as before; an attempt that joined and has to leave before is told unknown, as the operation may still run. The specification stays as it is: it makes no statement about an attempt that is told unknown, and not run is told at the same point as before. Before: TestEarlierDeadlineOfJoined: unknown instead of done; TestEarlierDeadlineBeforeDispatch: both cancelled. After: both pass; package oplog under the race detector, and TestTargetAnswersLateOrNever, TestRandomFaultsOnBookings (short) pass.

--- a/internal/oplog/log_test.go
+++ b/internal/oplog/log_test.go
@@ -131,3 +131,44 @@
 	}
 	is.Equal(c.runs.byRequest["again"], 0)
 }
+
+// submitTwice submits an operation and, while it waits, the same one again with another deadline. It returns both replies.
+func submitTwice(c *cluster, first, second clock.Millis) (Reply, Reply) {
+	ctx := context.Background()
+	shard := ShardOf(Key("importer", "k"), 2)
+	term, err := c.logs[0].Open(ctx, shard)
+	if err != nil {
+		return Reply{}, Reply{}
+	}
+	replies := make(chan Reply, 1)
+	go func() {
+		reply, _ := c.logs[0].Submit(ctx, Attempt{ID: "a1", Shard: shard, Term: term, Op: newOp("k", "r1", first)})
+		replies <- reply
+	}()
+	time.Sleep(50 * time.Millisecond)
+	joined, _ := c.logs[0].Submit(ctx, Attempt{ID: "a2", Shard: shard, Term: term, Op: newOp("k", "r2", second)})
+	return <-replies, joined
+}
+
+// Guards against: an attempt that joined an operation, and has an earlier deadline, ends the wait of all others.
+func TestEarlierDeadlineOfJoined(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1, 0, 0)
+	c.runs.behavior = func(Op) (time.Duration, State) { return 600 * time.Millisecond, Done }
+	first, joined := submitTwice(c, 3*clock.Second, 100)
+	is.Equal(joined.Verdict, VerdictUnknown) // it runs
+	is.Equal(first.Verdict, VerdictDone)
+	is.Equal(c.runs.byRequest["r1"], 1)
+}
+
+// Guards against: an operation that is not dispatched yet is cancelled at the deadline of an attempt that joined it.
+func TestEarlierDeadlineBeforeDispatch(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1, 0, 0)
+	is.Equal(c.clients[0].Do(context.Background(), newOp("before", "r0", clock.Second)).Verdict, VerdictDone)
+	c.store.setDown(true)
+	time.AfterFunc(500*time.Millisecond, func() { c.store.setDown(false) })
+	first, joined := submitTwice(c, 3*clock.Second, 100)
+	is.Equal(joined.Verdict, VerdictUnknown) // it may run later
+	is.Equal(first.Verdict, VerdictDone)
+}
--- a/internal/oplog/shard.go
+++ b/internal/oplog/shard.go
@@ -55,8 +55,9 @@
 
 // waiter is an attempt that waits for a verdict.
 type waiter struct {
-	attempt string // ID
-	reply   chan Reply
+	attempt  string // ID
+	deadline clock.Millis
+	reply    chan Reply
 }
 
 // replyAll replies to all attempts that wait for the operation.
@@ -69,6 +70,17 @@
 	e.waiters = nil
 }
 
+// replyUnknown replies unknown to the attempts that wait until the given deadline or an earlier one.
+func (e *entry) replyUnknown(deadline clock.Millis, term uint64) {
+	e.waiters = slices.DeleteFunc(e.waiters, func(w waiter) bool {
+		if w.deadline > deadline {
+			return false
+		}
+		w.reply <- Reply{Verdict: VerdictUnknown, Term: term}
+		return true
+	})
+}
+
 // submit starts the attempt's operation, joins the attempt to one that has started it already, or replies at once.
 func (s *shard) submit(a Attempt, reply chan Reply) {
 	if !s.owned || a.Term != s.term {
@@ -90,7 +102,7 @@
 	case e.cancelled:
 		reply <- Reply{Verdict: VerdictNotRun, Term: s.term, Reason: "log_unavailable"}
 	default:
-		e.waiters = append(e.waiters, waiter{attempt: a.ID, reply: reply})
+		e.waiters = append(e.waiters, waiter{attempt: a.ID, deadline: a.Op.Deadline, reply: reply})
 		s.scheduleExpiry(e, a.Op.Deadline)
 	}
 }
@@ -107,7 +119,7 @@
 			Writer: s.log.Self, State: Sent, CreatedAt: clock.Now(),
 		},
 		op:      a.Op,
-		waiters: []waiter{{attempt: a.ID, reply: reply}},
+		waiters: []waiter{{attempt: a.ID, deadline: a.Op.Deadline, reply: reply}},
 	}
 	s.entries[a.Op.Key] = e
 	s.log.active.Add(1)
@@ -123,25 +135,25 @@
 		wait += verdictGrace
 	}
 	time.AfterFunc(wait.Duration(), func() {
-		s.loop.Post(func() { s.expireWaiters(e, s.term) })
+		s.loop.Post(func() { s.expireWaiters(e, deadline, s.term) })
 	})
 }
 
-// expireWaiters replies to all waiters of an operation when the deadline of one has passed: not run if the operation can
-// still be cancelled, otherwise unknown.
-func (s *shard) expireWaiters(e *entry, term uint64) {
+// expireWaiters replies to the waiters of an operation whose deadline has passed. If that is the operation's own deadline, and
+// the operation can still be cancelled, all get the verdict not run; otherwise theirs is unknown.
+func (s *shard) expireWaiters(e *entry, deadline clock.Millis, term uint64) {
 	if len(e.waiters) == 0 {
 		return
 	}
 	if e.dispatched {
-		// The dispatch ends at the same deadline, so its result normally arrives within the grace period.
+		// The dispatch may end at the same deadline, so its result normally arrives within the grace period.
 		time.AfterFunc(verdictGrace.Duration(), func() {
-			s.loop.Post(func() { e.replyAll(Reply{Verdict: VerdictUnknown, Term: term}) })
+			s.loop.Post(func() { e.replyUnknown(deadline, term) })
 		})
 		return
 	}
-	if e.Term != term || e.Writer != s.log.Self {
-		e.replyAll(Reply{Verdict: VerdictUnknown, Term: term})
+	if e.Term != term || e.Writer != s.log.Self || deadline < e.op.Deadline {
+		e.replyUnknown(deadline, term)
 		return
 	}
 	s.cancel(e, "log_unavailable")
