--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -179,3 +179,42 @@
 	time.Sleep(1200 * time.Millisecond)
 	is.Equal(f.Current().Version.Number, uint64(7))
 }
+
+// Guards against: an instance that starts while the source is away, and has read an old version from the peers that it asked, keeps
+// that although another peer tells of a newer one.
+func TestFirstVersionOfPeersBehind(t *testing.T) {
+	is := is.New(t)
+	version := func(n uint64) Object { return Object{Version: Version{Number: n}, Value: []byte("x")} }
+	f := &Feed{
+		Name: "test", Peers: func() []string { return []string{"behind-1", "behind-2", "behind-3", "newest"} },
+		ShouldWatch: func() bool { return true }, PollInterval: func() clock.Millis { return clock.Minute }, Apply: func(Object) error { return nil },
+		Read:  func(context.Context) (Object, error) { return Object{}, eris.New("down") },
+		Watch: func(context.Context, Version, clock.Millis) (Object, error) { return Object{}, eris.New("down") },
+		Fetch: func(_ context.Context, peer string) (Object, error) {
+			if peer == "newest" {
+				return version(2), nil
+			}
+			return version(1), nil
+		},
+	}
+	f.Init()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = f.Run(ctx) }()
+	waitForVersion(t, f, 1)
+	f.Hint(Version{Number: 2}, "newest")
+	waitForVersion(t, f, 2)
+	f.Hint(Version{Number: 1}, "behind-1")
+	f.ReadFrom(ctx, []string{"behind-1"})
+	is.Equal(f.Current().Version.Number, uint64(2)) // it never returns to the older one
+}
+
+// waitForVersion waits until a feed has a version, for at most a second.
+func waitForVersion(t *testing.T, f *Feed, number uint64) {
+	t.Helper()
+	for end := time.Now().Add(time.Second); f.Current().Version.Number != number; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("version %d, not %d", f.Current().Version.Number, number)
+		}
+	}
+}
