--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -12,6 +12,7 @@
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
 
+	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/limit"
 )
 
@@ -24,7 +25,7 @@
 	maxStreamWindow   = 1 << 20          // bytes of a stream that have arrived and are not read yet
 	maxConnWindow     = 2 << 20          // the same of all streams of a connection
 	idleConnTimeout   = 30 * time.Second // a connection without calls is closed after this
-	cleanupInterval   = 5 * time.Second
+	cleanupInterval   = 5 * clock.Second
 )
 
 // Handler handles one kind of call from another instance; the body and the result are encoded as CBOR.
@@ -123,7 +124,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	defer n.close()
 	go n.readPackets(ctx)
-	go n.closeIdleConns(ctx)
+	go clock.Every(ctx, cleanupInterval, n.closeIdleConns)
 	for {
 		conn, err := n.listener.Accept(ctx)
 		if err != nil {
@@ -253,24 +254,15 @@
 	}
 }
 
-// closeIdleConns closes connections that have had no call for idleConnTimeout, until the context ends.
-func (n *Node) closeIdleConns(ctx context.Context) {
-	ticker := time.NewTicker(cleanupInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		n.mu.Lock()
-		for addr, pc := range n.conns {
-			if pc.activeCalls == 0 && time.Since(pc.lastUsed) > idleConnTimeout {
-				delete(n.conns, addr)
-				_ = pc.conn.CloseWithError(0, "")
-			}
+// closeIdleConns closes connections that have had no call for idleConnTimeout.
+func (n *Node) closeIdleConns() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for addr, pc := range n.conns {
+		if pc.activeCalls == 0 && time.Since(pc.lastUsed) > idleConnTimeout {
+			delete(n.conns, addr)
+			_ = pc.conn.CloseWithError(0, "")
 		}
-		n.mu.Unlock()
 	}
 }
 
