board: Post nothing for an answer without a rate limit

Cause: each answer posted a function to the control loop that found nothing to do, also where no target has ever named a limit. Change: that is left out until a target has named one, here or to an instance that told of it. An answer without a limit that passes just before one is known would have changed nothing either: its request was placed before. Before: TestAnswersWithoutLimit: the loop's queue was full after 1024 answers. After: it passes; package board passes under the race detector. The processor time was not measured.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -43,6 +44,7 @@
 	announce         bool   // set when instances have joined, which do not know the own requests yet
 	lastNumber       uint64 // number of the last own request
 	remotePlacements placementRate
+	limitNamed       atomic.Bool // some target has named a rate limit
 }
 
 // packet is a datagram between instances.
--- a/internal/board/limit.go
+++ b/internal/board/limit.go
@@ -98,6 +98,10 @@
 // way since before.
 func (p *Placement) RecordRateLimit(limit *float64) {
 	b := p.board
+	if limit == nil && !b.limitNamed.Load() {
+		return
+	}
+	b.limitNamed.Store(true)
 	b.Loop.Post(func() {
 		s := b.targets[p.Target.ID]
 		if s == nil || limit == nil && (!s.limit.named || b.placedAt[p.number] < s.limit.namedAt) {
@@ -124,5 +128,6 @@
 		s.limit.set(clock.Now(), nil)
 		return
 	}
+	b.limitNamed.Store(true)
 	s.limit.set(clock.Now(), &change.PerSecond)
 }
--- a/internal/board/limit_test.go
+++ b/internal/board/limit_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/loop"
 )
 
 // Pattern: many instances place at once on a target that names a limit, each before it knows of the others' placements. What
@@ -134,3 +135,23 @@
 	}
 	t.Fatal("condition not met within 1s")
 }
+
+// Guards against: each answer without a rate limit costs the loop a function, although no target has ever named a limit.
+func TestAnswersWithoutLimit(t *testing.T) {
+	is := is.New(t)
+	b := &Board{Self: "a", Loop: loop.New()} // the loop does not run
+	b.Init()
+	p := &Placement{board: b}
+	recorded := make(chan struct{})
+	go func() {
+		defer close(recorded)
+		for range 2000 { // more than the loop's queue holds
+			p.RecordRateLimit(nil)
+		}
+	}()
+	select {
+	case <-recorded:
+	case <-time.After(time.Second):
+		is.Fail() // the loop's queue is full
+	}
+}
