--- a/pkg/pier/client.go
+++ b/pkg/pier/client.go
@@ -1,13 +1,11 @@
 package pier
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"crypto/tls"
 	"encoding/json"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -21,18 +19,11 @@
 
 const (
 	dialTimeout        = 500 * time.Millisecond
-	addressesTimeout   = time.Second // for one request for addresses
-	maxEventBytes      = 1 << 20     // in a line of a streamed answer
 	maxProblemBytes    = 64 << 10
-	maxAddressesBytes  = 1 << 20  // of an answer with addresses
 	maxAnswerBytes     = 16 << 20 // of the result of a call, or of the text of a prompt's answer
-	maxSilentBytes     = 64 << 10 // of a streamed answer between two frames with text
 	maxHeaderBytes     = 64 << 10 // of an answer
 	defaultMaxTries    = 4
-	idleTimeout        = 3 * time.Second  // without a line of a streamed answer; an instance sends at least a comment each second
-	uploadTimePerByte  = time.Microsecond // added to idleTimeout for each byte of a prompt
 	defaultCallTimeout = 15 * time.Second
-	avoidDuration      = 5 * time.Second // for which a failed address is used only if all have failed
 )
 
 // Kind classifies an Error.
@@ -199,100 +190,6 @@
 	}
 }
 
-// pickAddress returns a random address, after a refresh of the addresses if they have expired. It avoids addresses that
-// have failed recently, unless all have.
-func (c *Client) pickAddress(ctx context.Context) (string, error) {
-	c.mu.Lock()
-	stale := time.Now().After(c.refreshAt)
-	c.mu.Unlock()
-	if stale && !c.SeedsOnly {
-		if err := c.refreshAddresses(ctx); err != nil {
-			return "", err
-		}
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	candidates := c.Seeds
-	if !c.SeedsOnly {
-		candidates = addrsFrom(c.addresses)
-	}
-	if len(candidates) == 0 {
-		return "", &Error{Op: "addresses", Kind: NoEntry, Problem: wire.Problem{Ran: wire.RanNo}}
-	}
-	var usable []string
-	for _, addr := range candidates {
-		if time.Now().After(c.avoidUntil[addr]) {
-			usable = append(usable, addr)
-		}
-	}
-	if len(usable) == 0 {
-		c.refreshAt = time.Time{} // refresh at the next call
-		usable = candidates
-	}
-	return usable[rand.IntN(len(usable))], nil
-}
-
-func addrsFrom(a wire.Addresses) []string {
-	var addrs []string
-	for _, address := range a.Addresses {
-		addrs = append(addrs, address.Addr)
-	}
-	return addrs
-}
-
-// avoidAddress marks an address that has failed, so that pickAddress avoids it for a while.
-func (c *Client) avoidAddress(addr string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.avoidUntil == nil {
-		c.avoidUntil = make(map[string]time.Time)
-	}
-	c.avoidUntil[addr] = time.Now().Add(avoidDuration)
-}
-
-// refreshAddresses asks the known addresses and then the seeds, one after another, for the addresses to use.
-func (c *Client) refreshAddresses(ctx context.Context) error {
-	c.mu.Lock()
-	candidates := addrsFrom(c.addresses)
-	c.mu.Unlock()
-	candidates = append(candidates, shuffled(c.Seeds)...)
-	var lastErr error
-	for _, addr := range candidates {
-		answer, err := c.fetchAddresses(ctx, addr)
-		if err != nil || len(answer.Addresses) == 0 {
-			lastErr = err
-			continue
-		}
-		c.mu.Lock()
-		c.addresses = answer
-		c.refreshAt = time.Now().Add(time.Duration(answer.KeepMillis) * time.Millisecond)
-		c.mu.Unlock()
-		return nil
-	}
-	return &Error{Op: "addresses", Kind: NoEntry, Err: lastErr, Problem: wire.Problem{Ran: wire.RanNo}}
-}
-
-// fetchAddresses asks one instance for the addresses to use.
-func (c *Client) fetchAddresses(ctx context.Context, addr string) (wire.Addresses, error) {
-	ctx, cancel := context.WithTimeout(ctx, addressesTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.scheme()+addr+wire.PathAddresses+"?zone="+c.Zone, nil)
-	if err != nil {
-		return wire.Addresses{}, err
-	}
-	resp, err := c.httpClient().Do(req)
-	if err != nil {
-		return wire.Addresses{}, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return wire.Addresses{}, eris.New(resp.Status)
-	}
-	var answer wire.Addresses
-	err = decodeBody(resp.Body, maxAddressesBytes, &answer)
-	return answer, err
-}
-
 // decodeBody decodes a body of at most the given number of bytes.
 func decodeBody(body io.Reader, most int64, into any) error {
 	data, err := limit.ReadAll(body, most)
@@ -302,67 +199,6 @@
 	return json.Unmarshal(data, into)
 }
 
-// streamAnswer sends the prompt to one address and reads the streamed answer. It returns an error unless the answer is
-// complete.
-func (c *Client) streamAnswer(ctx context.Context, addr string, body []byte, start time.Time) (Answer, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	idleTimer := time.AfterFunc(idleTimeout+time.Duration(len(body))*uploadTimePerByte, cancel)
-	defer idleTimer.Stop()
-	resp, err := c.post(ctx, addr, wire.PathCompletions, "", body)
-	if err != nil {
-		return Answer{}, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	idleTimer.Reset(idleTimeout)
-	answer := Answer{Entry: addr}
-	var text bytes.Buffer
-	isError := false
-	silentBytes := 0 // since the last frame with text
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(make([]byte, 4096), maxEventBytes)
-	for lines.Scan() {
-		idleTimer.Reset(idleTimeout)
-		line := lines.Bytes()
-		if silentBytes > maxSilentBytes {
-			return Answer{}, brokenError("complete", eris.New("too much without text"))
-		}
-		silentBytes += len(line) + 1
-		if string(line) == "event: "+wire.EventError {
-			isError = true
-			continue
-		}
-		data, ok := bytes.CutPrefix(line, []byte("data: "))
-		if !ok {
-			continue
-		}
-		if isError {
-			return Answer{}, refusedError("complete", data)
-		}
-		var frame wire.Frame
-		if err := json.Unmarshal(data, &frame); err != nil || frame.Offset != text.Len() {
-			return Answer{}, brokenError("complete", eris.New("frame cannot be decoded or does not continue the answer"))
-		}
-		if answer.TimeToFirstToken == 0 {
-			answer.TimeToFirstToken = time.Since(start)
-		}
-		if text.WriteString(frame.Text); text.Len() > maxAnswerBytes {
-			return Answer{}, brokenError("complete", limit.ErrTooLong)
-		}
-		if frame.Text != "" {
-			silentBytes = 0
-		}
-		if frame.Done {
-			if frame.Total != text.Len() {
-				return Answer{}, brokenError("complete", eris.New("answer ends before its total length"))
-			}
-			answer.Request, answer.Target, answer.Text = frame.Request, frame.Target, text.String()
-			return answer, nil
-		}
-	}
-	return Answer{}, brokenError("complete", lines.Err())
-}
-
 // post sends a request to one address and returns the response if its status is 200. Otherwise the error says that the
 // request did not run if it was not sent, because no connection could be opened, or if the instance says so.
 func (c *Client) post(ctx context.Context, addr, path, key string, body []byte) (*http.Response, error) {
@@ -430,9 +266,3 @@
 func brokenError(op string, err error) error {
 	return &Error{Op: op, Kind: Broken, Err: err, Problem: wire.Problem{Ran: wire.RanUnknown}}
 }
-
-func shuffled(addrs []string) []string {
-	result := append([]string(nil), addrs...)
-	rand.Shuffle(len(result), func(i, j int) { result[i], result[j] = result[j], result[i] })
-	return result
-}
