target, pierctl: Read answers by limit.ReadAll

target had the same lines; pierctl read without a limit in bytes for its 5 s. No test for pierctl: it is the operator's own tool, against its instances.

--- a/cmd/pierctl/cli.go
+++ b/cmd/pierctl/cli.go
@@ -14,12 +14,14 @@
 
 	"github.com/corianderpier/corianderpier/internal/config"
 	"github.com/corianderpier/corianderpier/internal/entry"
+	"github.com/corianderpier/corianderpier/internal/limit"
 	"github.com/corianderpier/corianderpier/internal/store"
 )
 
 const (
 	adminTimeout     = 5 * time.Second
 	diffContextLines = 2
+	maxAnswerBytes   = 16 << 20 // of an instance
 )
 
 // cli holds the flags and the output that all commands share.
@@ -109,7 +111,11 @@
 	if into == nil {
 		return nil
 	}
-	return json.NewDecoder(resp.Body).Decode(into)
+	data, err := limit.ReadAll(resp.Body, maxAnswerBytes)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, into)
 }
 
 // unifiedDiff returns the differences between two configurations in unified format.
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -15,6 +15,7 @@
 
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/engine"
+	"github.com/corianderpier/corianderpier/internal/limit"
 )
 
 const (
@@ -140,13 +141,10 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var result engine.ActResponse
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	body, err := limit.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return "", 0, &Error{Op: "act", Kind: Broken, Err: err}
 	}
-	if len(body) > maxAnswerBytes {
-		return "", 0, &Error{Op: "act", Kind: Broken, Err: eris.Errorf("answer is longer than %d bytes", maxAnswerBytes)}
-	}
 	if err := json.Unmarshal(body, &result); err != nil {
 		return "", 0, &Error{Op: "act", Kind: Broken, Err: err}
 	}
