member: Forget probes for others that nobody answers

Cause: a probe for another instance was forgotten only when its ack came, but mostly the probed instance is the one that died. The entries stayed until the process ended or paused: a few for each instance that dies, so that callers saw nothing of it. Change: it is forgotten when the instance that asked for it has given up waiting.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -209,9 +209,7 @@
 	case ping:
 		g.transmit(p.From.PeerAddr, packet{Kind: ack, Seq: p.Seq})
 	case pingRequest:
-		g.seq++
-		g.pendingProbes[g.seq] = &probe{requester: p.From.PeerAddr, requesterSeq: p.Seq}
-		g.transmit(p.ProbeAddr, packet{Kind: ping, Seq: g.seq})
+		g.probeFor(p)
 	case ack:
 		g.receiveAck(p)
 	}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -234,3 +234,22 @@
 	}
 	is.True(pings.Load() >= fleetSize-1)
 }
+
+// Guards against: an instance keeps each probe for ever that it sent for another one and that nobody answered.
+func TestUnansweredProbeForOther(t *testing.T) {
+	is := is.New(t)
+	network := &fakeNetwork{groups: make(map[string]*Group)}
+	g := network.start(t, 0)
+	pending := func() (n int) {
+		g.Loop.Call(func() { n = len(g.pendingProbes) })
+		return n
+	}
+	data, err := cbor.Marshal(packet{Kind: pingRequest, Seq: 7, From: memberNumber(1), ProbeAddr: "nobody"})
+	is.NoErr(err)
+	for range 20 {
+		g.Receive(data)
+	}
+	is.True(pending() >= 20)
+	time.Sleep(2 * probeTimeout.Duration())
+	is.True(pending() < 20) // only own probes
+}
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -117,6 +117,17 @@
 	})
 }
 
+// probeFor pings an instance for another one, which has given up waiting when probeTimeout is over.
+func (g *Group) probeFor(request packet) {
+	g.seq++
+	seq := g.seq
+	g.pendingProbes[seq] = &probe{requester: request.From.PeerAddr, requesterSeq: request.Seq}
+	g.transmit(request.ProbeAddr, packet{Kind: ping, Seq: seq})
+	time.AfterFunc(probeTimeout.Duration(), func() {
+		g.Loop.Post(func() { delete(g.pendingProbes, seq) })
+	})
+}
+
 // probeIndirectly probes a peer that has not answered in two further ways: through other instances, and by a call, which
 // uses another socket than datagrams.
 func (g *Group) probeIndirectly(ctx context.Context, seq uint64, sent *probe) {
