--- a/internal/peer/compress_test.go
+++ b/internal/peer/compress_test.go
@@ -23,3 +23,18 @@
 	_, err = response{Body: []byte("not compressed"), Compressed: true}.decompress()
 	is.True(err != nil)
 }
+
+// Guards against: a response of another build, or one that was damaged, is decompressed to more than a message may have.
+func FuzzDecompress(f *testing.F) {
+	whole, err := response{Body: bytes.Repeat([]byte("x"), 4<<10)}.compress()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(whole.Body)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		r, err := response{Body: body, Compressed: true}.decompress()
+		if err == nil && (r.Compressed || len(r.Body) > maxMessageBytes) {
+			t.Fatalf("%d bytes, compressed %v", len(r.Body), r.Compressed)
+		}
+	})
+}
