peer: Count refused messages, and leave room for the start of a fleet

Hundreds of instances that start together exchange member lists of some 60 KB with a few: 16 MB for all that are being read was near that, it is 32 MB now. What is refused is counted and logged. The start of hundreds was not played on it.

--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"io"
+	"log/slog"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
 
@@ -14,11 +16,13 @@
 
 const (
 	maxMessageBytes = 16 << 20        // of a request or a response
-	maxUnreadBytes  = 16 << 20        // of all messages that are being read
+	maxUnreadBytes  = 32 << 20        // of all messages that are being read
 	messageTimeout  = 2 * time.Second // from the first byte of a message to the last one
 	streamRejected  = quic.StreamErrorCode(1)
 )
 
+var messageRefusals = metrics.NewCounter(`pier_peer_refused_total{reason="message"}`)
+
 // request is what a call sends: the kind of call and its CBOR argument.
 type request struct {
 	Kind string `cbor:"1,keyasint"`
@@ -48,6 +52,8 @@
 		err = cbor.Unmarshal(raw, into)
 	}
 	if err != nil {
+		messageRefusals.Inc()
+		slog.Info("message of a peer refused", "error", err.Error())
 		stream.CancelRead(streamRejected)
 	}
 	return err
