--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -15,15 +15,16 @@
 
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/engine"
+	"github.com/corianderpier/corianderpier/internal/limit"
 )
 
 const (
-	dialTimeout     = 500 * time.Millisecond
-	controlTimeout  = clock.Second // of each short call
-	maxEventBytes   = 1 << 20
-	maxAnswerBytes  = 1 << 20  // of an answer that is not a stream; a longer one fails
-	maxHeaderBytes  = 64 << 10 // of an answer
-	maxCommentBytes = 64 << 10 // between two frames of a stream; comments tell that an engine still works
+	dialTimeout    = 500 * time.Millisecond
+	controlTimeout = clock.Second // of each short call
+	maxEventBytes  = 1 << 20
+	maxAnswerBytes = 1 << 20  // of an answer that is not a stream; a longer one fails
+	maxHeaderBytes = 64 << 10 // of an answer
+	maxSilentBytes = 64 << 10 // of a stream between two frames with text; comments tell that an engine still works
 )
 
 // Client sends HTTP requests to targets.
@@ -87,20 +88,23 @@
 
 // frameChecker forwards frames that continue the answer of one attempt and rejects all others.
 type frameChecker struct {
-	attempt      string
-	offset       int // bytes of text accepted so far, counted from the start of the answer
-	complete     bool
-	commentBytes int                      // received since the last frame
-	onFrame      func(engine.Frame) error // called with each accepted frame
+	attempt     string
+	offset      int // bytes of text accepted so far, counted from the start of the answer
+	complete    bool
+	silentBytes int                      // received since the last frame with text
+	onFrame     func(engine.Frame) error // called with each accepted frame
 }
 
 // checkLine checks one line of the event stream and forwards the frame in it; lines other than data are ignored.
 func (c *frameChecker) checkLine(line []byte) error {
+	if c.silentBytes > maxSilentBytes {
+		return &Error{Op: "stream", Kind: Broken, Err: eris.Errorf("more than %d bytes without text", maxSilentBytes)}
+	}
+	c.silentBytes += len(line) + 1
 	data, ok := bytes.CutPrefix(line, []byte("data: "))
 	if !ok {
-		return c.countComment(line)
+		return nil
 	}
-	c.commentBytes = 0
 	var frame engine.Frame
 	if err := json.Unmarshal(data, &frame); err != nil {
 		return c.mismatch("malformed")
@@ -115,18 +119,13 @@
 	if frame.Done && frame.Total != next {
 		return c.mismatch("total")
 	}
+	if next > c.offset {
+		c.silentBytes = 0
+	}
 	c.offset, c.complete = next, frame.Done
 	return c.onFrame(frame)
 }
 
-// countComment fails if too much other than frames has arrived since the last frame.
-func (c *frameChecker) countComment(line []byte) error {
-	if c.commentBytes += len(line) + 1; c.commentBytes > maxCommentBytes {
-		return &Error{Op: "stream", Kind: Broken, Err: eris.Errorf("more than %d bytes without a frame", maxCommentBytes)}
-	}
-	return nil
-}
-
 // mismatch counts a rejected frame and returns the error; what is the field that differs.
 func (c *frameChecker) mismatch(what string) error {
 	metrics.GetOrCreateCounter(`pier_target_foreign_total{what="` + what + `"}`).Inc()
@@ -142,13 +141,10 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var result engine.ActResponse
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	body, err := limit.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return "", 0, &Error{Op: "act", Kind: Broken, Err: err}
 	}
-	if len(body) > maxAnswerBytes {
-		return "", 0, &Error{Op: "act", Kind: Broken, Err: eris.Errorf("answer is longer than %d bytes", maxAnswerBytes)}
-	}
 	if err := json.Unmarshal(body, &result); err != nil {
 		return "", 0, &Error{Op: "act", Kind: Broken, Err: err}
 	}
@@ -162,13 +158,15 @@
 // Load fetches the load report of an engine.
 func (c *Client) Load(ctx context.Context, addr string) (engine.Load, error) {
 	var load engine.Load
-	return load, c.controlCall(ctx, http.MethodGet, addr, engine.PathLoad, nil, &load)
+	err := c.controlCall(ctx, http.MethodGet, addr, engine.PathLoad, nil, &load)
+	return load, err
 }
 
 // Holdings lists the memory that an engine keeps, with the owner of each holding.
 func (c *Client) Holdings(ctx context.Context, addr string) ([]engine.Holding, error) {
 	var holdings []engine.Holding
-	return holdings, c.controlCall(ctx, http.MethodGet, addr, engine.PathHoldings, nil, &holdings)
+	err := c.controlCall(ctx, http.MethodGet, addr, engine.PathHoldings, nil, &holdings)
+	return holdings, err
 }
 
 // Release frees the memory of a stream or reservation on an engine and stops its work.
@@ -184,7 +182,8 @@
 // State fetches the current state of an engine.
 func (c *Client) State(ctx context.Context, addr string) (engine.State, error) {
 	var state engine.State
-	return state, c.controlCall(ctx, http.MethodGet, addr, engine.PathState, nil, &state)
+	err := c.controlCall(ctx, http.MethodGet, addr, engine.PathState, nil, &state)
+	return state, err
 }
 
 // Order asks an engine to change its state, over a new connection.
