board: Eject an unreachable target once for requests under way together

Callers saw: nothing is lost, but refusals (costly, no places) for up to 8 s beside a target that was unreachable for a second: the others get its load.

Eight at once eject it for 8 s; instances add to this by broadcasts.

Evidence, before: TestUnreachableAtOnce: not usable 1.2 s after eight failures.

Change: while a target is ejected, further failures do not prolong that. Requests that fail at it after the ejection has ended double it as before.

--- a/internal/board/target.go
+++ b/internal/board/target.go
@@ -148,11 +148,12 @@
 	s.ejections, s.ejectedUntil = 0, 0
 }
 
-// recordFailure counts a failure, and ejects the target if it was unreachable.
+// recordFailure counts a failure, and ejects the target if it was unreachable. Requests that were under way at an ejection do not
+// prolong it.
 func (s *targetState) recordFailure(now clock.Millis, unreachable bool) {
 	s.decay(now)
 	s.failures++
-	if !unreachable {
+	if !unreachable || now < s.ejectedUntil {
 		return
 	}
 	s.ejectedUntil = now + min(ejectTime<<min(s.ejections, 10), maxEjectTime)
