--- a/internal/peer/endless_test.go
+++ b/internal/peer/endless_test.go
@@ -77,7 +77,7 @@
 			is := is.New(t)
 			a, b := startNode(t, "key"), &Node{Addr: "127.0.0.1:0", ClusterKey: []byte("key")}
 			is.NoErr(b.Listen())
-			defer b.close()
+			defer b.Close()
 			stopped := make(chan error, 1)
 			go func() {
 				conn, err := b.listener.Accept(context.Background())
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -122,7 +122,7 @@
 
 // Run handles calls and datagrams until the context ends, and then closes all connections.
 func (n *Node) Run(ctx context.Context) error {
-	defer n.close()
+	defer n.Close()
 	go n.readPackets(ctx)
 	go clock.Every(ctx, cleanupInterval, n.closeIdleConns)
 	for {
@@ -297,7 +297,8 @@
 	}
 }
 
-func (n *Node) close() {
+// Close closes all connections and the port of a node that does not run.
+func (n *Node) Close() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, pc := range n.conns {
