--- a/internal/blame/request_test.go
+++ b/internal/blame/request_test.go
@@ -79,6 +79,10 @@
 		}
 	}
 	is.True(let <= allowedAfter)
+	f.trackers[1] = f.newTracker(1)
+	f.repeat(0)
+	f.now += 5 * clock.Minute
+	is.Equal(f.letThrough(fatalRequest), 0) // an instance that has restarted, or slept, knows of the trials
 }
 
 // Guards against: a request that is on a crashing target beside the fatal one each time, as where few targets serve many, is
