blame: Keep the latest answer

A late report of an earlier answer took the place of a later one, so that a crash between the two counted against a request that was answered since. TestLatestAnswerKept failed before: two crashes in place of one.

--- a/internal/blame/answers.go
+++ b/internal/blame/answers.go
@@ -10,8 +10,11 @@
 	current, previous map[string]clock.Millis
 }
 
-// add records the time of an answer.
+// add records the time of an answer, unless a later one is known.
 func (r *recentAnswers) add(id string, at clock.Millis) {
+	if known, ok := r.get(id); ok {
+		at = max(at, known)
+	}
 	if r.current == nil || len(r.current) >= maxRecentAnswers {
 		r.previous, r.current = r.current, make(map[string]clock.Millis)
 	}
--- a/internal/blame/request_test.go
+++ b/internal/blame/request_test.go
@@ -271,3 +271,18 @@
 	}
 	is.Equal(passed, 1)
 }
+
+// Guards against: the late report of an earlier answer hides a later one, so that a crash between them counts.
+func TestLatestAnswerKept(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	tracker := f.trackers[0]
+	f.crashRequest("target", map[int][]string{0: {soundRequest}})
+	crashed := f.now
+	f.now += clock.Second
+	tracker.RecordAnswer([]string{soundRequest})
+	tracker.Receive(Report{Crashes: []Crash{{ID: soundRequest, Target: "second", Age: -1}}}) // makes it a suspect again
+	tracker.Receive(Report{Answers: []Answer{{ID: soundRequest, Age: f.now - crashed + 1}}})
+	tracker.Receive(Report{Crashes: []Crash{{ID: soundRequest, Target: "third", Age: f.now - crashed}}})
+	is.Equal(len(tracker.suspects[soundRequest].crashes), 1)
+}
