member, entry, platform: Find unknown instances in one place

Both starts picked out of a stored list the instances that the view lacks, or knows from before a restart; View.Unknown does now. Behaviour stays as it is: a registration on the own interface never says that its process is dead.

--- a/internal/entry/register.go
+++ b/internal/entry/register.go
@@ -56,26 +56,20 @@
 	if err != nil {
 		return false
 	}
-	known := make(map[string]member.Member)
-	for _, m := range i.group.View().Members {
-		known[m.Name] = m
-	}
-	var joining []member.Member
+	view := i.group.View()
+	var registered []member.Member
 	for _, o := range objects {
 		var r registration
 		if err := json.Unmarshal(o.Value, &r); err != nil {
 			slog.Warn("registration not readable", "object", o.Name, "error", err)
 			continue
 		}
-		m, ok := known[r.Member.Name]
-		switch {
-		case !ok || m.FirstIncarnation < r.Member.FirstIncarnation:
-			joining = append(joining, r.Member)
-		case m.State == member.Dead && m.FirstIncarnation == r.Member.FirstIncarnation:
+		registered = append(registered, r.Member)
+		if view.HasDead(r.Member) {
 			_ = i.store.Delete(ctx, o.Name, o.Version)
 		}
 	}
-	i.group.Join(ctx, joining)
+	i.group.Join(ctx, view.Unknown(registered))
 	return true
 }
 
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -89,6 +89,27 @@
 	return v.filter(func(m Member) bool { return m.State != Dead })
 }
 
+// Unknown returns those of some instances that the view lacks, or knows from before a restart, but for dead ones.
+func (v View) Unknown(members []Member) []Member {
+	known := make(map[string]Member, len(v.Members))
+	for _, m := range v.Members {
+		known[m.Name] = m
+	}
+	var unknown []Member
+	for _, m := range members {
+		old, ok := known[m.Name]
+		if m.State != Dead && (!ok || old.FirstIncarnation < m.FirstIncarnation) {
+			unknown = append(unknown, m)
+		}
+	}
+	return unknown
+}
+
+// HasDead reports whether the process of a member is in the view as dead.
+func (v View) HasDead(process Member) bool {
+	return slices.ContainsFunc(v.Members, func(m Member) bool { return m.State == Dead && m.Owner() == process.Owner() })
+}
+
 // HasOwner reports whether the process with this owner identity is in the view and not dead.
 func (v View) HasOwner(owner string) bool {
 	name, firstIncarnation, _ := strings.Cut(owner, "/")
