board: Probe engines that were listed before the configuration

Callers saw: an engine that fell silent kept its requests, and got new ones, until the first request was placed by the instance that probes it.

Cause: whether a target is an engine was taken from its state, which is set when the list is applied and when a request is placed. An instance that has the list before the configuration took all for plain targets.

Evidence: TestProbesOfEnginesListedFirst failed before. The tests of board pass with the race detector.

--- a/internal/board/probe.go
+++ b/internal/board/probe.go
@@ -33,7 +33,7 @@
 	var targets []Target
 	b.Loop.Call(func() {
 		for id, s := range b.targets {
-			if !s.closed(clock.Now()) && s.schedule.Engine.PrefillRate > 0 && b.Monitors(id) && s.limit.probeDue(clock.Now()) {
+			if !s.closed(clock.Now()) && b.engine(s.Service).PrefillRate > 0 && b.Monitors(id) && s.limit.probeDue(clock.Now()) {
 				targets = append(targets, s.Target)
 			}
 		}
--- a/internal/board/probe_test.go
+++ b/internal/board/probe_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/corianderpier/corianderpier/internal/model"
 )
 
 // probe has a board probe all engines once and broadcast the results; probeTarget returns the slowdown of a target.
@@ -96,3 +98,19 @@
 	}
 	is.True(count <= 1)
 }
+
+// Guards against: an instance that hears of its engines before it has a configuration does not probe them.
+func TestProbesOfEnginesListedFirst(t *testing.T) {
+	is := is.New(t)
+	b := newBoards(t, 1, 2)[0]
+	engine := b.Engine
+	b.Loop.Call(func() { b.Engine = func(string) (model.Engine, bool) { return model.Engine{}, false } })
+	b.ReplaceTargets([]Target{{ID: "early", Service: "models", Slots: 16}}, ListTrust{})
+	b.Loop.Call(func() { b.Engine = engine })
+	probed := false
+	probe(b, func(target string) (float64, error) {
+		probed = probed || target == "early"
+		return 1, nil
+	})
+	is.True(probed)
+}
