relay: Release an attempt's memory before the hedge beside it is awaited

When an attempt fails while a hedge is under way, tryTarget waited for the hedge and only then closed the attempt, and with it its leases.

Evidence: TestMemoryReleasedBesideHedge failed before (the leases of the first attempt were still held half a second after it broke), and passes. The tests of relay pass with the race detector.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -84,8 +84,8 @@
 	for {
 		w := s.watch(ctx, current)
 		outcome, next := s.runAttempt(current)
+		current.close() // before the hedge is awaited, so that its memory is free
 		hedge := w.stop(outcome == "" && next != noFollowUp)
-		current.close()
 		s.attemptsSent += w.sent
 		s.mayHaveRun = s.mayHaveRun || w.mayHaveRun
 		if hedge != nil {
--- a/internal/relay/hedged_test.go
+++ b/internal/relay/hedged_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/ticket"
@@ -163,3 +165,56 @@
 	is.True(idle > 0)
 	is.True(idle < maxIdle.Duration())
 }
+
+// Guards against: the memory of an attempt that has ended stays leased while the hedge beside it goes on.
+func TestMemoryReleasedBesideHedge(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const (
+		breaksAfter = 2 * time.Second // so that a hedge has begun
+		hedgeTakes  = 3 * time.Second
+	)
+	var mu sync.Mutex
+	var broke time.Time
+	var leased []string // in order
+	released := make(map[string]time.Time)
+	s := &silentSite{engines: 8, memory: 800, next: func(ctx context.Context, lastEventID int) (*Answer, error) {
+		return pausing(ctx, "", hedgeTakes, eventsBetween(lastEventID+1, 6)), nil
+	}}
+	s.first = func(context.Context, string, string) *Answer {
+		body, w := io.Pipe()
+		time.AfterFunc(breaksAfter, func() {
+			mu.Lock()
+			broke = time.Now()
+			mu.Unlock()
+			_ = w.CloseWithError(eris.New("connection reset"))
+		})
+		return &Answer{Status: http.StatusOK, Header: http.Header{}, Body: body}
+	}
+	s.tickets = &ticket.Manager{
+		Reserve: func(_ context.Context, l ticket.Lease, _ clock.Millis) error {
+			mu.Lock()
+			defer mu.Unlock()
+			if !slices.Contains(leased, l.ID) {
+				leased = append(leased, l.ID)
+			}
+			return nil
+		},
+		Release: func(_ context.Context, l ticket.Lease) error {
+			mu.Lock()
+			defer mu.Unlock()
+			released[l.ID] = time.Now()
+			return nil
+		},
+		InUse: func(context.Context, ticket.Lease) (bool, error) { return true, nil },
+	}
+	got, aborted := s.serve(t, resumable, "", "", nil)
+	is.True(!aborted)
+	is.Equal(got.Body.String(), eventsBetween(1, 6))
+	mu.Lock()
+	defer mu.Unlock()
+	is.True(len(leased) > 2) // the hedge has leased memory
+	for _, id := range leased[:2] {
+		is.True(released[id].Sub(broke) < 500*time.Millisecond)
+	}
+}
