--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -297,7 +297,7 @@
 	}
 }
 
-// Close closes all connections and the port of a node that does not run.
+// Close closes all connections and the port. Run does so at its end.
 func (n *Node) Close() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/relay/hedged_test.go
+++ b/internal/relay/hedged_test.go
@@ -23,21 +23,9 @@
 	return nil, &Error{Op: "send", Kind: Broken, Err: ctx.Err()}
 }
 
-// breakingAfter answers with a first part, sends nothing for longer than stallTimeout after a failed probe, sends the rest and breaks.
+// breakingAfter is breaking with a given pause, as silentSite.first.
 func breakingAfter(pause time.Duration) func(ctx context.Context, first, rest string) *Answer {
-	return func(ctx context.Context, first, rest string) *Answer {
-		body, w := io.Pipe()
-		go func() {
-			_, _ = io.WriteString(w, first)
-			select {
-			case <-ctx.Done():
-			case <-time.After(pause):
-				_, _ = io.WriteString(w, rest)
-			}
-			_ = w.CloseWithError(io.ErrUnexpectedEOF)
-		}()
-		return &Answer{Status: http.StatusOK, Header: http.Header{}, Body: body}
-	}
+	return func(ctx context.Context, first, rest string) *Answer { return breaking(ctx, first, pause, rest) }
 }
 
 // Guards against: a stream whose silent engine goes on and then breaks waits for a hedge that can no longer go on with it.
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -47,7 +47,7 @@
 	MaxIdleTime func() clock.Millis
 	// InUse asks an engine whether a request uses a lease.
 	InUse func(ctx context.Context, l Lease) (bool, error)
-	// Closed reports whether an engine takes no new requests, and so no new leases; nil if all engines do.
+	// Closed reports whether an engine takes no new requests, and so no new leases; nil if none does that.
 	Closed func(l Lease) bool
 	// QuietTime returns for how long an engine wants no requests; nil if none asks for that.
 	QuietTime func(l Lease) clock.Millis
