review: instances go on with an old configuration (CONFIG)

Cause: only six instances chosen by a hash of their names watch the configuration, and nobody takes over from those that the store turns away; the others poll once in 60 s. The stand-in of the store can turn machines away and tells who watches; that of a worker can leave. The stand-in of streams is gone with its case. Writes that change nothing are no events any more.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,7 +24,7 @@
 	time.AfterFunc(maxTime, func() { fatal(fmt.Errorf("not done after %s", maxTime)) })
 	rec := newRecorder(os.Args[2])
 	trouble := os.Getenv("TROUBLE") != "0"
-	cases := map[string]func(*recorder, bool){"path": pathCase, "foreign": foreignCase, "ticket": ticketCase, "stream": streamCase}
+	cases := map[string]func(*recorder, bool){"path": pathCase, "foreign": foreignCase, "ticket": ticketCase, "watch": watchCase, "leave": leaveCase}
 	run := cases[os.Args[1]]
 	if run == nil {
 		fatal(fmt.Errorf("no case %q", os.Args[1]))
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -70,6 +70,7 @@
 	instances []*instance
 	services  []map[string]any
 	routes    []map[string]any
+	keys      []string // of the tenant
 	version   uint64
 }
 
@@ -90,7 +91,7 @@
 	if err != nil {
 		fatal(err)
 	}
-	s := &site{rec: rec, dir: dir, store: newStore(), ports: make(map[string]int), version: 7}
+	s := &site{rec: rec, dir: dir, store: newStore(), ports: make(map[string]int), version: 7, keys: []string{apiKey}}
 	running = s
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -148,7 +149,7 @@
 	s.store.put("config", "main", map[string]any{
 		"version": s.version, "routes": s.routes, "services": s.services,
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": tenant, "api_keys": []string{apiKey}, "priority": 1}},
+		"tenants": []any{map[string]any{"name": tenant, "api_keys": s.keys, "priority": 1}},
 	})
 	s.rec.log("configuration %d acknowledged by the store", s.version)
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"sort"
 	"strconv"
@@ -25,6 +26,9 @@
 	Deleting   bool     `json:"deleting"`
 }
 
+// watchKey names a machine, by its IP address, and a kind that it watches.
+type watchKey struct{ ip, kind string }
+
 // event is one change, as a watch returns it.
 type event struct {
 	Object  object `json:"object"`
@@ -40,11 +44,52 @@
 	revision uint64
 	objects  map[string]map[string]object // by kind and name
 	events   []event
-	changed  chan struct{} // closed at the next change
+	changed  chan struct{}          // closed at the next change
+	refused  map[string]bool        // IP addresses of machines that the store turns away
+	watchers map[watchKey]time.Time // when a machine last began a watch of a kind
 }
 
 func newStore() *store {
-	return &store{revision: 1, objects: make(map[string]map[string]object), changed: make(chan struct{})}
+	return &store{revision: 1, objects: make(map[string]map[string]object), changed: make(chan struct{}), watchers: make(map[watchKey]time.Time)}
+}
+
+// turnAway makes the store turn some machines away from now on, and cuts off their watches that wait. It serves all others.
+func (s *store) turnAway(ips []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused = make(map[string]bool)
+	for _, ip := range ips {
+		s.refused[ip] = true
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// turnsAway reports whether the store turns a machine away.
+func (s *store) turnsAway(r *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused[callerIP(r)]
+}
+
+// watchersOf returns the IP addresses of the machines that have begun a watch of a kind lately, in order.
+func (s *store) watchersOf(kind string, lately time.Duration) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ips []string
+	for key, at := range s.watchers {
+		if key.kind == kind && time.Since(at) < lately {
+			ips = append(ips, key.ip)
+		}
+	}
+	sort.Strings(ips)
+	return ips
+}
+
+// callerIP returns the IP address from which a call comes, which is that of the machine.
+func callerIP(r *http.Request) string {
+	ip, _, _ := net.SplitHostPort(r.RemoteAddr)
+	return ip
 }
 
 // put writes an object as the operator or a worker does.
@@ -56,6 +101,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := s.objects[kind][name]
+	if string(o.Spec) == string(data) {
+		return // a write that changes nothing is no event
+	}
 	o.Metadata.Name, o.Spec = name, data
 	s.write(kind, o, false)
 }
@@ -91,6 +139,10 @@
 }
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.turnsAway(r) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	path, ok := strings.CutPrefix(r.URL.Path, "/-/objects/")
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
@@ -140,6 +192,11 @@
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	if wait > 0 {
+		s.mu.Lock()
+		s.watchers[watchKey{callerIP(r), kind}] = time.Now()
+		s.mu.Unlock()
+	}
 	timer := time.NewTimer(time.Duration(min(wait, 30_000)) * time.Millisecond)
 	defer timer.Stop()
 	for {
@@ -154,6 +211,10 @@
 		if len(events) == 0 {
 			select {
 			case <-changed:
+				if s.turnsAway(r) {
+					w.WriteHeader(http.StatusServiceUnavailable)
+					return
+				}
 				continue
 			case <-r.Context().Done():
 				return
