feed, platform: Look at the store when nobody says that a version is the newest

Cause: who watches is chosen by a hash of names among the live instances, and nobody checks that the store answers them. All others poll once a minute.

Change: instances tell each other how long ago the store had nothing newer; one that was not told for 3 s polls the store, at a random moment.

Why it works: the bound is now kept by each instance from the age of what it holds, whoever was to watch.

Open: watchers that are all killed at once are noticed after about 3 s.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -41,6 +41,9 @@
 	OnUpdate      func()                                                 // called after a newer version became active; may be nil
 	WatchDuration func() clock.Millis                                    // of one watch call at the source; nil for the default
 	HintInterval  func() clock.Millis                                    // shortest time between reads from peers; nil for none
+	MaxAge        clock.Millis                                           // without a confirmation, until the source is polled; zero for any
+	LookSpread    func() clock.Millis                                    // over which instances that do so at once spread; nil for the least
+	OnConfirmed   func()                                                 // called when the active version was confirmed; may be nil
 
 	mu              sync.Mutex
 	current         atomic.Pointer[Object]
@@ -52,6 +55,7 @@
 	nextSourceRead  clock.Millis            // earliest time of the next such read
 	failing         atomic.Bool             // the source has not answered since a call to it failed
 	recoveredAt     atomic.Int64            // see RecoveredAt, milliseconds since the epoch
+	confirmedAt     atomic.Int64            // see ConfirmedAt, milliseconds since the epoch
 	staleSince      atomic.Int64            // when a version above the active one was first announced; zero for none
 	highestKnown    atomic.Pointer[Version] // highest version that a peer has announced; nil for none
 }
@@ -131,6 +135,7 @@
 // Run keeps the object up to date until the context ends.
 func (f *Feed) Run(ctx context.Context) error {
 	go f.watch(ctx)
+	go f.keepFresh(ctx)
 	var nextFirstRead clock.Millis
 	for ctx.Err() == nil {
 		wait := f.PollInterval()
@@ -256,7 +261,7 @@
 		}
 		delay = retryDelay
 		f.recordSuccess()
-		f.applyIfNewer(o)
+		f.applyFromSource(o)
 		_ = clock.Sleep(ctx, coalesceDelay)
 	}
 }
@@ -283,7 +288,17 @@
 		return
 	}
 	f.recordSuccess()
+	f.applyFromSource(o)
+}
+
+// applyFromSource activates what the source has answered if it is newer. Either way the source had nothing newer than what is
+// active then, unless that was rejected.
+func (f *Feed) applyFromSource(o Object) {
+	answered := clock.Now()
 	f.applyIfNewer(o)
+	if current := f.Current(); !current.IsZero() && !o.Version.After(current.Version) {
+		f.raiseConfirmedAt(answered)
+	}
 }
 
 // readIfChanged reads the object; its value is empty if it has not changed since the active version.
@@ -328,7 +343,7 @@
 	}
 	f.peerAnswered.Store(true)
 	if o.RecoveredAgo > 0 {
-		f.raiseRecoveredAt(int64(clock.Now() - o.RecoveredAgo))
+		raise(&f.recoveredAt, int64(clock.Now()-o.RecoveredAgo))
 	}
 	o.RecoveredAgo = 0
 	f.applyIfNewer(o)
@@ -369,13 +384,20 @@
 	now := int64(clock.Now())
 	f.lastSuccess.Store(now)
 	if f.failing.Swap(false) {
-		f.raiseRecoveredAt(now)
+		raise(&f.recoveredAt, now)
 	}
 }
 
-// raiseRecoveredAt records a time at which the source answered again.
-func (f *Feed) raiseRecoveredAt(at int64) {
-	for old := f.recoveredAt.Load(); at > old && !f.recoveredAt.CompareAndSwap(old, at); old = f.recoveredAt.Load() {
+// raise sets a point in time to a later one, and reports whether it was earlier.
+func raise(value *atomic.Int64, at int64) bool {
+	for {
+		old := value.Load()
+		if at <= old {
+			return false
+		}
+		if value.CompareAndSwap(old, at) {
+			return true
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/feed/fresh.go
@@ -0,0 +1,104 @@
+package feed
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+)
+
+const (
+	minLookSpread    = 500 * clock.Millis(1) // over which instances with an old confirmation spread their looks at the source
+	maxLookDoublings = 3                     // of the spread while these looks fail
+)
+
+// Confirmation tells how long ago the source had nothing newer than a version.
+type Confirmation struct {
+	Version Version      `cbor:"1,keyasint"`
+	Age     clock.Millis `cbor:"2,keyasint"`
+}
+
+// ConfirmedAt returns when the source last had nothing newer than the active version, as this instance or a peer has seen, or zero
+// if neither has.
+func (f *Feed) ConfirmedAt() clock.Millis { return clock.Millis(f.confirmedAt.Load()) }
+
+// Confirmation returns what this instance can tell peers of its version, or nil if it knows nothing.
+func (f *Feed) Confirmation() *Confirmation {
+	at := f.ConfirmedAt() // before the version, which may only be newer by now
+	if at == 0 {
+		return nil
+	}
+	return &Confirmation{Version: f.Current().Version, Age: max(clock.Now()-at, 0)}
+}
+
+// Confirm takes over what a peer tells. If the peer has a newer version, that is read from it instead.
+func (f *Feed) Confirm(c *Confirmation, peer string) {
+	if c == nil || c.Age < 0 {
+		return
+	}
+	if c.Version.After(f.Current().Version) {
+		f.Hint(c.Version, peer)
+		return
+	}
+	f.raiseConfirmedAt(clock.Now() - c.Age)
+}
+
+// raiseConfirmedAt records a time at which the source had nothing newer than the active version.
+func (f *Feed) raiseConfirmedAt(at clock.Millis) {
+	if raise(&f.confirmedAt, int64(at)) && f.OnConfirmed != nil {
+		f.OnConfirmed()
+	}
+}
+
+// keepFresh looks at the source whenever nobody has told for MaxAge that the active version is the newest: those that watch may be
+// unable to reach the source, or to tell. Looks come at random moments, so that the first one that succeeds, of which all others are
+// told, spares most of them theirs.
+func (f *Feed) keepFresh(ctx context.Context) {
+	if f.MaxAge == 0 {
+		return
+	}
+	since, failed := clock.Now(), 0
+	for ctx.Err() == nil {
+		if f.Current().IsZero() {
+			_ = clock.Sleep(ctx, retryDelay)
+			since = clock.Now()
+			continue
+		}
+		if left := max(since, f.ConfirmedAt()) + f.MaxAge - clock.Now(); left > 0 {
+			failed = 0
+			_ = clock.Sleep(ctx, left)
+			continue
+		}
+		_ = clock.Sleep(ctx, f.lookPause(failed))
+		if f.stale() && !f.watchFails() && ctx.Err() == nil {
+			failed++
+			f.look(ctx)
+		}
+	}
+}
+
+// look polls the source because the active version was not confirmed for too long.
+func (f *Feed) look(ctx context.Context) {
+	metrics.GetOrCreateCounter(`pier_feed_looks_total{feed="` + f.Name + `"}`).Inc()
+	slog.Info("object not confirmed, source polled", "feed", f.Name, "version", f.Current().Version.String(), "age", (clock.Now() - f.ConfirmedAt()).String())
+	f.poll(ctx)
+}
+
+// stale reports whether the active version was not confirmed for MaxAge.
+func (f *Feed) stale() bool { return clock.Now()-f.ConfirmedAt() >= f.MaxAge }
+
+// watchFails reports whether this instance watches the source and retries that anyway.
+func (f *Feed) watchFails() bool { return f.failing.Load() && f.ShouldWatch() }
+
+// lookPause returns the time until a look, after a number of looks in a row that have failed.
+func (f *Feed) lookPause(failed int) clock.Millis {
+	spread := minLookSpread
+	if f.LookSpread != nil {
+		spread = max(spread, f.LookSpread())
+	}
+	spread <<= min(failed, maxLookDoublings)
+	return 1 + clock.Millis(rand.Int64N(int64(spread)))
+}
--- /dev/null
+++ b/internal/feed/fresh_test.go
@@ -0,0 +1,87 @@
+package feed
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+)
+
+// newUnwatchedFeed runs a feed that has version 1 and does not watch the source. It counts its looks, which read answers.
+func newUnwatchedFeed(t *testing.T, read func() (Object, error)) (*Feed, *atomic.Int64) {
+	t.Helper()
+	looks := &atomic.Int64{}
+	f := &Feed{
+		Name: "test", Peers: func() []string { return nil }, ShouldWatch: func() bool { return false },
+		PollInterval: func() clock.Millis { return clock.Minute }, Apply: func(Object) error { return nil }, MaxAge: 400,
+		Watch: func(context.Context, Version, clock.Millis) (Object, error) {
+			looks.Add(1)
+			return read()
+		},
+		Fetch: func(context.Context, string) (Object, error) { return Object{}, eris.New("no peer") },
+	}
+	f.Init()
+	f.applyIfNewer(Object{Version: Version{Number: 1}, Value: []byte("1")})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = f.Run(ctx) }()
+	return f, looks
+}
+
+// Guards against: an instance that hears nothing of the source goes on with an old version, since those that watch the source for it
+// are turned away.
+func TestUnconfirmedVersionLookedUp(t *testing.T) {
+	is := is.New(t)
+	f, _ := newUnwatchedFeed(t, func() (Object, error) { return Object{Version: Version{Number: 2}, Value: []byte("2")}, nil })
+	_ = clock.Sleep(context.Background(), f.MaxAge+minLookSpread+200)
+	is.Equal(f.Current().Version.Number, uint64(2))
+	is.True(clock.Now()-f.ConfirmedAt() < f.MaxAge+minLookSpread)
+}
+
+// Guards against: instances that are told that their version is the newest ask the source all the same.
+func TestConfirmedVersionNotLookedUp(t *testing.T) {
+	is := is.New(t)
+	f, looks := newUnwatchedFeed(t, func() (Object, error) { return Object{Version: Version{Number: 1}, Value: []byte("1")}, nil })
+	for range 15 {
+		f.Confirm(&Confirmation{Version: Version{Number: 1}, Age: 10}, "peer")
+		time.Sleep(100 * time.Millisecond)
+	}
+	is.Equal(looks.Load(), int64(0))
+	told := f.Confirmation()
+	is.Equal(told.Version, Version{Number: 1})
+	is.True(told.Age >= 100 && told.Age < f.MaxAge)
+}
+
+// Guards against: looks at a source that answers nobody come without pause.
+func TestFailingLooksSlowDown(t *testing.T) {
+	is := is.New(t)
+	_, looks := newUnwatchedFeed(t, func() (Object, error) { return Object{}, eris.New("turned away") })
+	time.Sleep(4 * time.Second)
+	is.True(looks.Load() >= 1)
+	is.True(looks.Load() <= 8)
+}
+
+// A peer that has only an older version says nothing against the newer one; one with a newer version, or an age that is not one,
+// confirms nothing.
+func TestConfirmationsOfPeers(t *testing.T) {
+	is := is.New(t)
+	f := &Feed{Name: "test", Apply: func(Object) error { return nil }}
+	f.Init()
+	f.applyIfNewer(Object{Version: Version{Era: 1, Number: 5}, Value: []byte("5")})
+	is.Equal(f.Confirmation(), nil)
+	f.Confirm(&Confirmation{Version: Version{Era: 1, Number: 6}}, "peer")
+	f.Confirm(&Confirmation{Version: Version{Era: 1, Number: 5}, Age: -clock.Hour}, "peer")
+	f.Confirm(nil, "peer")
+	is.Equal(f.ConfirmedAt(), clock.Millis(0))
+	is.Equal(len(f.hints), 1)
+	f.Confirm(&Confirmation{Version: Version{Era: 1, Number: 4}, Age: 50}, "peer")
+	is.True(f.ConfirmedAt() > 0)
+	at := f.ConfirmedAt()
+	f.Confirm(&Confirmation{Version: Version{Era: 1, Number: 5}, Age: clock.Minute}, "peer")
+	is.Equal(f.ConfirmedAt(), at)
+}
