feed, platform: Order two lists by when the store had them

What callers saw: the six instances that watch the list of workers were killed and started again while a worker's entry was removed.

Cause: the version of a list was the highest revision of its entries, which a removal does not raise unless the instance saw it. The restarted instances' list had no higher version, so that the others never took it; instances that begin to watch refused what they read from the store for the same reason. Ruled out: that the store shows the worker after its removal.

Change: a list carries the revision up to which it is complete. Of two that differ the one that is complete up to a higher revision is newer, and gets a version that says so. Lists that are alike keep their versions.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -46,7 +46,7 @@
 	OnConfirmed   func()                                                 // called when the active version was confirmed; may be nil
 
 	mu              sync.Mutex
-	current         atomic.Pointer[Object]
+	current         atomic.Pointer[state]
 	hints           chan hint
 	peerAnswered    atomic.Bool             // a peer has answered a fetch, with a version or without
 	lastSuccess     atomic.Int64            // when the source last answered, milliseconds since the epoch
@@ -64,6 +64,7 @@
 type hint struct {
 	version Version
 	peer    string
+	digest  uint64 // of a value that differs from the active one of the same version; zero for none
 }
 
 // Init prepares the feed for Hint, Refresh and Run.
@@ -71,8 +72,8 @@
 
 // Current returns the active object, whose version is zero before the first update.
 func (f *Feed) Current() Object {
-	if o := f.current.Load(); o != nil {
-		return *o
+	if s := f.current.Load(); s != nil {
+		return s.Object
 	}
 	return Object{}
 }
@@ -100,8 +101,13 @@
 	}
 	f.raiseHighestKnown(version)
 	f.staleSince.CompareAndSwap(0, int64(clock.Now()))
+	f.send(hint{version: version, peer: peer})
+}
+
+// send passes a hint to Run, unless one is waiting already.
+func (f *Feed) send(h hint) {
 	select {
-	case f.hints <- hint{version, peer}:
+	case f.hints <- h:
 	default:
 	}
 }
@@ -117,12 +123,7 @@
 }
 
 // Refresh makes Run poll the source at once, for when a watch may have missed changes.
-func (f *Feed) Refresh() {
-	select {
-	case f.hints <- hint{}:
-	default:
-	}
-}
+func (f *Feed) Refresh() { f.send(hint{}) }
 
 // StaleFor returns how long ago a version above the active one was first announced, or zero if there is none.
 func (f *Feed) StaleFor() clock.Millis {
@@ -136,6 +137,7 @@
 func (f *Feed) Run(ctx context.Context) error {
 	go f.watch(ctx)
 	go f.keepFresh(ctx)
+	go f.compareFirst(ctx)
 	var nextFirstRead clock.Millis
 	for ctx.Err() == nil {
 		wait := f.PollInterval()
@@ -225,6 +227,19 @@
 	group.Wait()
 }
 
+// compareFirst reads the object from some peers if the first version came from the source before there were any to ask. Their version
+// may be as high although their value is older; the source does not say so, as its list does not tell what was removed.
+func (f *Feed) compareFirst(ctx context.Context) {
+	for f.Current().IsZero() || len(f.Peers()) == 0 {
+		if clock.Sleep(ctx, firstReadInterval) != nil {
+			return
+		}
+	}
+	if peers := f.Peers(); !f.peerAnswered.Load() {
+		f.ReadFrom(ctx, peers[:min(len(peers), maxFirstFetches)])
+	}
+}
+
 // readsFirst reports whether a first version is read from the source too.
 func (f *Feed) readsFirst() bool { return f.ReadsFirst == nil || f.ReadsFirst() }
 
@@ -316,11 +331,12 @@
 	if h.peer != "" {
 		f.fetchFromPeer(ctx, h.peer)
 	}
-	current := f.Current()
-	if current.IsZero() {
+	active := f.current.Load()
+	if active == nil {
 		return
 	}
-	if h.peer == "" || h.version.After(current.Version) {
+	differs := h.digest != 0 && h.version == active.Version && h.digest != active.digest // the peer's may be the newer one, or not
+	if h.peer == "" || h.version.After(active.Version) || differs {
 		f.poll(ctx)
 	}
 	f.pauseHints(ctx)
@@ -349,36 +365,6 @@
 	f.applyIfNewer(o)
 }
 
-// applyIfNewer activates a version above the current one and reports whether it did. An older version, or one that Apply
-// rejects, is counted as refused.
-func (f *Feed) applyIfNewer(o Object) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	current := f.Current().Version
-	if o.Version == current || len(o.Value) == 0 {
-		return false
-	}
-	if !o.Version.After(current) {
-		metrics.GetOrCreateCounter(`pier_feed_refused_total{feed="` + f.Name + `",reason="older"}`).Inc()
-		slog.Info("older object refused", "feed", f.Name, "version", o.Version.String(), "current", current.String())
-		return false
-	}
-	if err := f.Apply(o); err != nil {
-		metrics.GetOrCreateCounter(`pier_feed_refused_total{feed="` + f.Name + `",reason="invalid"}`).Inc()
-		slog.Error("object rejected", "feed", f.Name, "version", o.Version.String(), "error", err)
-		return false
-	}
-	f.current.Store(&o)
-	if known := f.highestKnown.Load(); known == nil || !known.After(o.Version) {
-		f.staleSince.Store(0)
-	}
-	slog.Info("object applied", "feed", f.Name, "version", o.Version.String())
-	if f.OnUpdate != nil {
-		f.OnUpdate()
-	}
-	return true
-}
-
 // recordSuccess records that the source has answered.
 func (f *Feed) recordSuccess() {
 	now := int64(clock.Now())
--- a/internal/feed/fresh.go
+++ b/internal/feed/fresh.go
@@ -19,6 +19,7 @@
 type Confirmation struct {
 	Version Version      `cbor:"1,keyasint"`
 	Age     clock.Millis `cbor:"2,keyasint"`
+	Digest  uint64       `cbor:"3,keyasint,omitempty"` // of the value; zero if the version alone says what it is
 }
 
 // ConfirmedAt returns when the source last had nothing newer than the active version, as this instance or a peer has seen, or zero
@@ -31,19 +32,30 @@
 	if at == 0 {
 		return nil
 	}
-	return &Confirmation{Version: f.Current().Version, Age: max(clock.Now()-at, 0)}
+	active := f.current.Load()
+	c := &Confirmation{Version: active.Version, Age: max(clock.Now()-at, 0)}
+	if active.AsOf > 0 {
+		c.Digest = active.digest
+	}
+	return c
 }
 
-// Confirm takes over what a peer tells. If the peer has a newer version, that is read from it instead.
+// Confirm takes over what a peer tells. If the peer has a newer version, or another value of the same version, that is read from it
+// instead.
 func (f *Feed) Confirm(c *Confirmation, peer string) {
 	if c == nil || c.Age < 0 {
 		return
 	}
-	if c.Version.After(f.Current().Version) {
+	active := f.current.Load()
+	switch {
+	case active == nil || c.Version.After(active.Version):
 		f.Hint(c.Version, peer)
-		return
+	case c.Version == active.Version && c.Digest != 0 && c.Digest != active.digest:
+		metrics.GetOrCreateCounter(`pier_feed_differing_total{feed="` + f.Name + `"}`).Inc()
+		f.send(hint{c.Version, peer, c.Digest})
+	default:
+		f.raiseConfirmedAt(clock.Now() - c.Age)
 	}
-	f.raiseConfirmedAt(clock.Now() - c.Age)
 }
 
 // raiseConfirmedAt records a time at which the source had nothing newer than the active version.
--- a/internal/feed/version.go
+++ b/internal/feed/version.go
@@ -37,6 +37,9 @@
 	// RecoveredAgo is how long ago the source answered again after an outage, as the peer that sends the object knows; zero for
 	// never.
 	RecoveredAgo clock.Millis `cbor:"3,keyasint,omitempty"`
+	// AsOf is the number of the source, in the era of the version, up to which it had nothing newer; zero if unknown, or if the
+	// version is not a number of the source.
+	AsOf uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // IsZero reports whether there is no such state yet.
