board: Let no two processes of an instance share a number

What callers saw: an instance lost power while engines read a prompt for it, and was given another long prompt when it was back.

Cause: lease ids are made of the instance's name, the number of the placement and the index of the engine, and the numbers began at zero in each process. The engine takes a known id as a renewal. Evidence: the record of the case has the id edge-hobart-a-1-1-0 of both processes. Ruled out: that the new process takes over leases; it knows of none.

Change: a process begins at a number drawn from random bits and the system time. The same numbers are in the datagrams of placements, where the others took the first requests of the new process for known ones; that is mended as well.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"math/rand/v2"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/loop"
@@ -45,7 +49,7 @@
 	pending          packet // changes that are not broadcast yet
 	flushScheduled   bool   // a tick is due that broadcasts them
 	announce         bool   // set when instances have joined, which do not know the own requests yet
-	lastNumber       uint64 // number of the last own request
+	lastNumber       uint64 // number of the last own request, see firstNumber
 	remotePlacements placementRate
 	limitNamed       atomic.Bool // some target has named a rate limit
 }
@@ -72,6 +76,15 @@
 	b.ownRequests = make(map[uint64]*ActiveRequest)
 	b.placedAt = make(map[uint64]clock.Millis)
 	b.placements = make(map[uint64]*Placement)
+	b.lastNumber = firstNumber()
+}
+
+// firstNumber returns where an instance begins to number its requests. Requests and leases of its former process may still be known
+// when it starts again, so that each process has numbers of its own, also if the system time has gone back.
+func firstNumber() uint64 {
+	seed := binary.BigEndian.AppendUint64(nil, rand.Uint64())
+	seed = binary.BigEndian.AppendUint64(seed, uint64(time.Now().UnixNano()))
+	return xxhash.Sum64(seed) / 2 // so that counting on never overflows
 }
 
 // Run broadcasts the own requests and probes targets until the context ends.
--- a/internal/board/placement.go
+++ b/internal/board/placement.go
@@ -64,7 +64,8 @@
 	return append([]Target{p.Target}, p.Helpers...)
 }
 
-// LeaseID returns a unique id for the lease at an engine of Leased, given by its index.
+// LeaseID returns an id for the lease at an engine of Leased, given by its index. No other process uses it, nor an earlier one of this
+// instance, whose leases an engine would renew in place of granting new ones.
 func (p *Placement) LeaseID(engine int) string {
 	return fmt.Sprintf("%s-%x-%d", p.board.Self, p.number, engine)
 }
--- a/internal/board/request.go
+++ b/internal/board/request.go
@@ -47,7 +47,7 @@
 
 // ActiveRequest is a placed request as instances broadcast it.
 type ActiveRequest struct {
-	Number          uint64       `cbor:"1,keyasint"` // unique within its instance
+	Number          uint64       `cbor:"1,keyasint"` // unique among those of all processes of its instance
 	Target          string       `cbor:"2,keyasint"`
 	Helpers         []string     `cbor:"3,keyasint,omitempty"` // targets that prefill a part of the prompt
 	PromptTokens    int          `cbor:"4,keyasint,omitempty"`
