member: Refute what is said of a former process at the same address

An incarnation is the system time at the start. If that was set back behind the former start of an instance, the others take its new process for the earlier one: it counts as dead for ten minutes, gets no callers and is told of no change at once. It did not refute this either, as it took what was said for that of a later process of its name.

Change: what is said of a process at the own address is of an earlier one, since two cannot have it, and is refuted whatever its first incarnation. A later process elsewhere is left alone as before. Messages stay as they are; takes the higher incarnation.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -237,9 +237,10 @@
 }
 
 // refute raises the incarnation of this instance if a rumor contradicts its state, so that its own state overrides the
-// rumor. A rumor about a later process of the same name is not refuted.
+// rumor. A rumor about a later process of the same name is not refuted. One at the address of this process is an earlier one, which
+// was started when the system time was ahead of what it is now.
 func (g *Group) refute(m Member) {
-	restarted := m.FirstIncarnation > g.Self.FirstIncarnation
+	restarted := m.FirstIncarnation > g.Self.FirstIncarnation && m.PeerAddr != g.Self.PeerAddr
 	current := m.Incarnation == g.Self.Incarnation && m.State == g.Self.State && (g.Self.Unlinked || !m.Unlinked)
 	if restarted || current || m.Incarnation < g.Self.Incarnation {
 		return
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -253,3 +253,31 @@
 	time.Sleep(2 * probeTimeout.Duration())
 	is.True(pending() < 20) // only own probes
 }
+
+// Guards against: an instance that starts again after the system time was set back counts as dead for the others until they forget its
+// former process.
+func TestRestartWithTimeBehind(t *testing.T) {
+	is := is.New(t)
+	network := &fakeNetwork{groups: make(map[string]*Group)}
+	other := network.start(t, 1)
+	former := memberNumber(0).WithIncarnation(1000)
+	former.FirstIncarnation = 1000
+	other.Join(context.Background(), []Member{former, former.WithState(Dead)})
+	restarted := network.start(t, 0) // with incarnation 1
+	restarted.ExchangeLists(other.ExchangeLists(List{Members: restarted.View().Members}))
+	for end := time.Now().Add(2 * probeInterval.Duration()); len(other.View().Live()) < 2 && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(len(other.View().Live()), 2)
+}
+
+// A process that has taken over the name of another one elsewhere, and was started later, is left alone.
+func TestLaterProcessElsewhere(t *testing.T) {
+	is := is.New(t)
+	network := &fakeNetwork{groups: make(map[string]*Group)}
+	g := network.start(t, 0)
+	later := memberNumber(0).WithIncarnation(1000)
+	later.FirstIncarnation, later.PeerAddr = 1000, "elsewhere"
+	g.ExchangeLists(List{Members: []Member{later}})
+	is.Equal(g.View().Members[0].Incarnation, uint64(1))
+}
