serve: Tell of requests that were not handled although bytes of them had come

Connections of callers that are closed without a request in progress are counted by reason (the caller, a timeout, this instance); where bytes of a request had come, a line has their number, for how long the connection was open or idle, and for how long it was silent.

No change of what callers see.

--- a/internal/serve/timeout.go
+++ b/internal/serve/timeout.go
@@ -39,7 +39,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &timeoutConn{Conn: c, timeouts: l.timeouts}, nil
+	conn := &timeoutConn{Conn: c, timeouts: l.timeouts}
+	conn.reset()
+	return conn, nil
 }
 
 // What a connection reads next.
@@ -49,11 +51,13 @@
 	requestNext
 )
 
-// timeoutConn replaces the read deadlines that the server sets by those of the current timeouts.
+// timeoutConn replaces the read deadlines that the server sets by those of the current timeouts. It tells of requests that were not
+// handled although bytes of them had come.
 type timeoutConn struct {
 	net.Conn
 	timeouts func() Timeouts
 	awaiting atomic.Int32
+	unhandled
 }
 
 // setState records what the server reads next.
@@ -63,9 +67,27 @@
 		c.awaiting.Store(bodyNext)
 	case http.StateIdle:
 		c.awaiting.Store(requestNext)
+		c.reset()
 	}
 }
 
+// Read reads from the connection.
+func (c *timeoutConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if c.awaiting.Load() != bodyNext {
+		c.record(n, err)
+	}
+	return n, err
+}
+
+// Close closes the connection.
+func (c *timeoutConn) Close() error {
+	if c.awaiting.Load() != bodyNext {
+		c.report(c.RemoteAddr())
+	}
+	return c.Conn.Close()
+}
+
 // SetReadDeadline sets the deadline for a header or an idle connection by the current timeouts. While a body is read, it
 // sets the deadline that it is given, which is the handler's.
 func (c *timeoutConn) SetReadDeadline(t time.Time) error {
--- /dev/null
+++ b/internal/serve/unhandled.go
@@ -0,0 +1,75 @@
+package serve
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+)
+
+// unhandled keeps what a connection has read of a request that no handler has seen yet.
+type unhandled struct {
+	mu      sync.Mutex
+	bytes   int
+	since   clock.Millis // when the connection was opened, or its last answer was written
+	readAt  clock.Millis // when the last bytes were read
+	lastErr error        // of the last read
+	closed  bool
+}
+
+// reset begins to wait for the next request.
+func (u *unhandled) reset() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.bytes, u.since, u.lastErr = 0, clock.Now(), nil
+}
+
+// record records the result of a read.
+func (u *unhandled) record(n int, err error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.lastErr = err
+	if n > 0 {
+		u.bytes += n
+		u.readAt = clock.Now()
+	}
+}
+
+// report counts a connection that is closed without a request in progress, by reason. If bytes of a request have come, whose caller
+// gets no answer, it is logged as well.
+func (u *unhandled) report(caller net.Addr) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.closed {
+		return
+	}
+	u.closed = true
+	reason := u.reason()
+	metrics.GetOrCreateCounter(`pier_connections_closed_total{reason="` + reason + `"}`).Inc()
+	if u.bytes > 0 {
+		now := clock.Now()
+		metrics.GetOrCreateCounter(`pier_connections_unhandled_total{reason="` + reason + `"}`).Inc()
+		slog.Info("connection closed with a request that was not handled", "caller", caller.String(), "reason", reason, "bytes", u.bytes,
+			"open_ms", int64(now-u.since), "silent_ms", int64(now-u.readAt))
+	}
+}
+
+// reason returns who ended the connection: the caller, a timeout, or this instance.
+func (u *unhandled) reason() string {
+	switch {
+	case errors.Is(u.lastErr, os.ErrDeadlineExceeded):
+		return "timeout"
+	case errors.Is(u.lastErr, io.EOF):
+		return "caller"
+	case u.lastErr != nil:
+		return "broken"
+	default:
+		return "instance"
+	}
+}
