serve: Let a risen idle timeout hold for connections that are idle already

A connection that became idle under a lower limit was closed by that one, although its caller, who knows the newer configuration, may go on using it, and may send a request just then. When the deadline passes, the timeout in force decides anew. A connection that was never used, or has a part of a request, keeps its deadline.

Before: TestIdleTimeoutRises failed (connection closed after the old timeout). After: it passes, and so do all tests of the package.

--- a/internal/serve/timeout.go
+++ b/internal/serve/timeout.go
@@ -1,8 +1,10 @@
 package serve
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -40,7 +42,7 @@
 		return nil, err
 	}
 	conn := &timeoutConn{Conn: c, timeouts: l.timeouts}
-	conn.reset()
+	conn.reset(false)
 	return conn, nil
 }
 
@@ -67,19 +69,33 @@
 		c.awaiting.Store(bodyNext)
 	case http.StateIdle:
 		c.awaiting.Store(requestNext)
-		c.reset()
+		c.reset(true)
 	}
 }
 
 // Read reads from the connection.
 func (c *timeoutConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	for errors.Is(err, os.ErrDeadlineExceeded) && c.extend() {
+		n, err = c.Conn.Read(data)
+	}
 	if c.awaiting.Load() != bodyNext {
 		c.record(n, err)
 	}
 	return n, err
 }
 
+// extend lets an idle connection wait on if the idle timeout has risen since it became idle, as its caller may know that already. It
+// reports whether there is time left.
+func (c *timeoutConn) extend() bool {
+	since, idle := c.waitsSince()
+	until := (since + c.timeouts().Idle).Time()
+	if !idle || c.awaiting.Load() != headerNext || !time.Now().Before(until) {
+		return false
+	}
+	return c.Conn.SetReadDeadline(until) == nil
+}
+
 // Close closes the connection.
 func (c *timeoutConn) Close() error {
 	if c.awaiting.Load() != bodyNext {
--- a/internal/serve/timeout_test.go
+++ b/internal/serve/timeout_test.go
@@ -79,3 +79,25 @@
 	took = closedAfter(t, c)
 	is.True(took >= 300 && took < 1500) // the header is incomplete: the new header timeout applies
 }
+
+// Guards against: the idle timeout rises, and a connection that was idle before is closed by the old one while its caller, who knows the
+// new one, sends a request on it.
+func TestIdleTimeoutRises(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var timeouts atomic.Pointer[Timeouts]
+	timeouts.Store(&Timeouts{Header: 300, Idle: 400})
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	go func() { _ = server.Serve(WithTimeouts(l, server, func() Timeouts { return *timeouts.Load() })) }()
+	t.Cleanup(func() { _ = server.Close() })
+	c, roundTrip := dial(t, l.Addr().String())
+	is.NoErr(roundTrip())
+	timeouts.Store(&Timeouts{Header: 300, Idle: 1200})
+	time.Sleep(800 * time.Millisecond)
+	is.NoErr(roundTrip())
+	_, err = io.WriteString(c, "GET / HT")
+	is.NoErr(err)
+	took := closedAfter(t, c)
+	is.True(took >= 200 && took < 1000) // the limit for a header stays as it is
+}
--- a/internal/serve/unhandled.go
+++ b/internal/serve/unhandled.go
@@ -21,13 +21,22 @@
 	readAt  clock.Millis // when the last bytes were read
 	lastErr error        // of the last read
 	closed  bool
+
+	answered bool // a request was answered on the connection
+}
+
+// reset begins to wait for the next request, or for the first one.
+func (u *unhandled) reset(answered bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.bytes, u.since, u.lastErr, u.answered = 0, clock.Now(), nil, answered
 }
 
-// reset begins to wait for the next request.
-func (u *unhandled) reset() {
+// waitsSince returns since when the connection waits for a request, and whether nothing of one has come and an answer was written before.
+func (u *unhandled) waitsSince() (clock.Millis, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.bytes, u.since, u.lastErr = 0, clock.Now(), nil
+	return u.since, u.answered && u.bytes == 0
 }
 
 // record records the result of a read.
