relay, platform: Tell event 0 from no event

Cause: zero stood for both, so that the next worker was told nothing and its event 0 was taken. Change: a flag of its own says that the caller has an event.

Before: TestStreamFromZeroResumes failed.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -44,9 +44,10 @@
 	}
 }
 
-// send sends the request, and returns once the header of the answer has arrived.
-func (a *attempt) send(rl *Relay, r Request, lastEventID int) error {
-	answer, err := rl.Send(a.ctx, r, a.placement, lastEventID)
+// send sends the request, to be resumed after the last event that the caller has, and returns once the header of the answer has arrived.
+func (a *attempt) send(rl *Relay, r Request, since progress) error {
+	r.HasEvent = since.hasEvent
+	answer, err := rl.Send(a.ctx, r, a.placement, since.lastEventID)
 	if err != nil {
 		return err
 	}
@@ -114,7 +115,7 @@
 	s.target, s.predictedFirstEvent, s.helpers = a.placement.Target.ID, a.placement.PredictedFirstEvent, a.placement.HelperIDs()
 	s.eventsBefore, s.answering, s.serverError = s.eventsForwarded, false, nil
 	if a.answer == nil {
-		err := a.send(s.relay, s.Request, s.lastEventID)
+		err := a.send(s.relay, s.Request, s.progress)
 		if sent(err) {
 			s.attemptsSent++
 		}
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -34,7 +34,7 @@
 	begun, another := make(chan struct{}), w.left > 1
 	w.group.Go(func() { w.endHungHedge(hedge, begun, another) })
 	defer close(begun)
-	err = hedge.send(s.relay, s.Request, since.lastEventID)
+	err = hedge.send(s.relay, s.Request, since)
 	if sent(err) {
 		w.left--
 		w.sent++
--- a/internal/relay/progress.go
+++ b/internal/relay/progress.go
@@ -14,7 +14,8 @@
 	steps           int          // answers and events forwarded, counted over all attempts
 	stepAt          clock.Millis // time of the last step
 	progressAt      clock.Millis // time of the last step, or of the start of the attempt
-	lastEventID     int          // of the last event forwarded to the caller
+	lastEventID     int          // of the last event that the caller has, see hasEvent
+	hasEvent        bool         // the caller has an event with an id, of this answer or of one that it resumes; ids may begin at zero
 	numbered        bool         // an event with an id has been forwarded to the caller, so that the stream can be resumed
 	responseStarted bool         // the status and header have been sent to the caller
 	contentType     string       // of the stream of which the caller has a part
@@ -26,7 +27,7 @@
 	if e.id < 0 {
 		return !resuming || e.isComment()
 	}
-	return p.lastEventID <= 0 || e.id == p.lastEventID+1
+	return !p.hasEvent || e.id == p.lastEventID+1
 }
 
 // sharedProgress is the progress of a request, which the current attempt makes and a hedge beside it looks at. Only the goroutine
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -100,7 +100,7 @@
 		defer rl.OnStop(func() { stop(errStopped) })()
 	}
 	s := &requestState{Request: r, ctx: ctx, relay: rl, w: w, exclude: make(map[string]bool)}
-	s.lastEventID = r.LastEventID
+	s.lastEventID, s.hasEvent = r.LastEventID, r.HasEvent || r.LastEventID > 0
 	s.print = blame.Request(r.fingerprint())
 	s.blamed = append([]string{s.print}, r.SharedParts...)
 	rl.Budget(r.Service).RecordRequest()
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -27,7 +27,8 @@
 	ID               string // given by the caller
 	Kind             Kind
 	Resumable        bool   // another target may continue the stream
-	LastEventID      int    // of the last event that the caller has; 0 for none
+	LastEventID      int    // of the last event that the caller has; zero also if it has none
+	HasEvent         bool   // the caller has an event with an id, whatever that is
 	Service          string // name of the service that runs the request
 	Customer         string
 	ConfigVersion    uint64      // version of the configuration that the route comes from
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -65,7 +65,7 @@
 			p.responseStarted, p.contentType = true, answer.Header.Get("Content-Type")
 		}
 		if e.id >= 0 {
-			p.lastEventID, p.numbered = e.id, true
+			p.lastEventID, p.hasEvent, p.numbered = e.id, true, true
 		}
 	})
 	if !advanced {
