feed, platform: Take over the duty to watch as soon as the view changes

Cause: an instance that is suspected is replaced by the next one by rank, after about a second, but that one asked only twice a second whether it has the duty. Change: a change of the view makes it ask at once.

Before: TestDutyTakenOverAtOnce failed.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -48,6 +48,7 @@
 	mu              sync.Mutex
 	current         atomic.Pointer[state]
 	hints           chan hint
+	reconsider      chan struct{}           // see Reconsider
 	peerAnswered    atomic.Bool             // a peer has answered a fetch, with a version or without
 	lastSuccess     atomic.Int64            // when the source last answered, milliseconds since the epoch
 	firstReads      atomic.Int32            // attempts to read a first version that are in progress
@@ -67,8 +68,11 @@
 	digest  uint64 // of a value that differs from the active one of the same version; zero for none
 }
 
-// Init prepares the feed for Hint, Refresh and Run.
-func (f *Feed) Init() { f.hints = make(chan hint, 1) }
+// Init prepares the feed for Hint, Refresh, Reconsider and Run.
+func (f *Feed) Init() {
+	f.hints = make(chan hint, 1)
+	f.reconsider = make(chan struct{}, 1)
+}
 
 // Current returns the active object, whose version is zero before the first update.
 func (f *Feed) Current() Object {
@@ -256,7 +260,7 @@
 	delay := retryDelay
 	for ctx.Err() == nil {
 		if !f.ShouldWatch() || f.Current().IsZero() {
-			_ = clock.Sleep(ctx, retryDelay)
+			f.awaitDuty(ctx)
 			continue
 		}
 		duration := f.watchDuration()
@@ -281,6 +285,23 @@
 	}
 }
 
+// Reconsider makes Run ask ShouldWatch again at once.
+func (f *Feed) Reconsider() {
+	select {
+	case f.reconsider <- struct{}{}:
+	default:
+	}
+}
+
+// awaitDuty waits until this instance may be one that watches.
+func (f *Feed) awaitDuty(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-f.reconsider:
+	case <-time.After(retryDelay.Duration()):
+	}
+}
+
 // watchDuration returns how long the source is asked to hold a watch call open.
 func (f *Feed) watchDuration() clock.Millis {
 	if f.WatchDuration == nil {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -17,14 +17,17 @@
 func newFeed(t *testing.T, watch func(calls int64) (Object, error)) (*Feed, *atomic.Int64) {
 	t.Helper()
 	calls := &atomic.Int64{}
-	return runFeed(t, func(context.Context, clock.Millis) (Object, error) { return watch(calls.Add(1)) }), calls
+	return runFeed(t, func(context.Context, clock.Millis) (Object, error) { return watch(calls.Add(1)) }, always), calls
 }
 
-// runFeed runs a feed that reads version 1 first and then watches.
-func runFeed(t *testing.T, watch func(ctx context.Context, wait clock.Millis) (Object, error)) *Feed {
+// always is the answer of an instance that watches.
+func always() bool { return true }
+
+// runFeed runs a feed that reads version 1 first and then watches while it should.
+func runFeed(t *testing.T, watch func(ctx context.Context, wait clock.Millis) (Object, error), shouldWatch func() bool) *Feed {
 	t.Helper()
 	f := &Feed{
-		Name: "test", Peers: func() []string { return nil }, ShouldWatch: func() bool { return true },
+		Name: "test", Peers: func() []string { return nil }, ShouldWatch: shouldWatch,
 		PollInterval: func() clock.Millis { return clock.Minute }, Apply: func(Object) error { return nil },
 		Read: func(context.Context) (Object, error) {
 			return Object{Version: Version{Number: 1}, Value: []byte("1")}, nil
@@ -62,7 +65,7 @@
 			return Object{}, eris.New("reset")
 		}
 		return Object{Version: Version{Number: 1}}, clock.Sleep(ctx, wait) // nothing changes
-	})
+	}, always)
 	_ = clock.Sleep(context.Background(), back+noticedWithin-clock.Now())
 	is.True(f.RecoveredAt() >= back)
 }
@@ -126,7 +129,7 @@
 		return Object{Version: Version{Number: version.Load()}, Value: []byte("x")}, nil
 	}
 	f := &Feed{
-		Name: "test", Peers: func() []string { return nil }, ShouldWatch: func() bool { return true },
+		Name: "test", Peers: func() []string { return nil }, ShouldWatch: always,
 		PollInterval: func() clock.Millis { return clock.Minute }, Apply: func(Object) error { return nil },
 		Read: func(context.Context) (Object, error) { return read() },
 		Watch: func(ctx context.Context, _ Version, wait clock.Millis) (Object, error) {
@@ -185,7 +188,7 @@
 	var reads atomic.Int64
 	var written atomic.Bool
 	f := &Feed{
-		Name: "test", Peers: func() []string { return nil }, ShouldWatch: func() bool { return true },
+		Name: "test", Peers: func() []string { return nil }, ShouldWatch: always,
 		PollInterval: func() clock.Millis { return clock.Minute }, Apply: func(Object) error { return nil },
 		Read: func(context.Context) (Object, error) {
 			reads.Add(1)
--- a/internal/feed/fresh_test.go
+++ b/internal/feed/fresh_test.go
@@ -85,3 +85,32 @@
 	f.Confirm(&Confirmation{Version: Version{Era: 1, Number: 5}, Age: clock.Minute}, "peer")
 	is.Equal(f.ConfirmedAt(), at)
 }
+
+// Guards against: those that watch are gone, and the one that is to take over notices so late that all are told of a change too late.
+func TestDutyTakenOverAtOnce(t *testing.T) {
+	is := is.New(t)
+	var duty atomic.Bool
+	asked, watched := make(chan struct{}, 100), make(chan struct{}, 100)
+	f := runFeed(t, func(context.Context, clock.Millis) (Object, error) {
+		watched <- struct{}{}
+		return Object{}, eris.New("reset")
+	}, func() bool {
+		asked <- struct{}{}
+		return duty.Load()
+	})
+	for f.Current().IsZero() {
+		time.Sleep(time.Millisecond)
+	}
+	for len(asked) > 0 {
+		<-asked
+	}
+	<-asked // it is asked again only after retryDelay
+	duty.Store(true)
+	time.Sleep(10 * time.Millisecond)
+	f.Reconsider()
+	select {
+	case <-watched:
+	case <-time.After((retryDelay / 2).Duration()):
+		is.Fail()
+	}
+}
