--- a/internal/feed/fresh.go
+++ b/internal/feed/fresh.go
@@ -95,7 +95,8 @@
 // look polls the source because the active version was not confirmed for too long.
 func (f *Feed) look(ctx context.Context) {
 	metrics.GetOrCreateCounter(`pier_feed_looks_total{feed="` + f.Name + `"}`).Inc()
-	slog.Info("object not confirmed, source polled", "feed", f.Name, "version", f.Current().Version.String(), "age", (clock.Now() - f.ConfirmedAt()).String())
+	age := clock.Now() - f.ConfirmedAt()
+	slog.Info("object not confirmed, source polled", "feed", f.Name, "version", f.Current().Version.String(), "age", age.String())
 	f.poll(ctx)
 }
 
--- a/internal/feed/fresh_test.go
+++ b/internal/feed/fresh_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -114,3 +117,51 @@
 		is.Fail()
 	}
 }
+
+// Pattern: hundreds of instances of which three hear the source, at the same moments. All others are told in time, and each sends a few
+// datagrams a second, whatever the number of instances.
+func TestGossipReachesAll(t *testing.T) {
+	const instances, watchers = 120, 3
+	is := is.New(t)
+	var mu sync.Mutex
+	gossips := make(map[string]*Gossip)
+	var sent atomic.Int64
+	var addrs []string
+	for n := range instances {
+		addrs = append(addrs, fmt.Sprint("entry-", n))
+	}
+	var feeds []*Feed
+	for n, addr := range addrs {
+		f, _ := newUnwatchedFeed(t, func() (Object, error) { return Object{}, eris.New("turned away") })
+		g := &Gossip{
+			Feeds: []*Feed{f}, Peers: func() []string { return slices.Delete(slices.Clone(addrs), n, n+1) },
+			Send: func(to string, data []byte) {
+				sent.Add(1)
+				mu.Lock()
+				receiver := gossips[to]
+				mu.Unlock()
+				go receiver.Receive(addr, data)
+			},
+		}
+		g.Init()
+		mu.Lock()
+		gossips[addr] = g
+		mu.Unlock()
+		feeds = append(feeds, f)
+	}
+	for n, addr := range addrs {
+		feeds[n].OnConfirmed = gossips[addr].Record
+		go func() { _ = gossips[addr].Run(t.Context()) }()
+	}
+	const rounds, interval = 3, 2100 * time.Millisecond // of a short watch
+	for range rounds {
+		for _, f := range feeds[:watchers] {
+			f.raiseConfirmedAt(clock.Now())
+		}
+		time.Sleep(interval)
+	}
+	for _, f := range feeds {
+		is.True(clock.Now()-f.ConfirmedAt() < 3*clock.Second)
+	}
+	is.True(sent.Load() <= int64(instances*gossipFanout*rounds*5)) // two datagrams a second to each of gossipFanout
+}
