feed: Tell all others of a version that a look has found

If those that watch are turned away, a newer instance that finds a version by a look now tells all others of it by the datagram that also those which watch send, so that older ones read it from there.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -43,6 +43,7 @@
 	HintInterval  func() clock.Millis                                    // shortest time between reads from peers; nil for none
 	MaxAge        clock.Millis                                           // without a confirmation, until the source is polled; zero for any
 	LookSpread    func() clock.Millis                                    // over which instances that do so at once spread; nil for the least
+	OnFound       func()                                                 // called when a look has found a newer version; may be nil
 	OnConfirmed   func()                                                 // called when the active version was confirmed; may be nil
 
 	mu              sync.Mutex
--- a/internal/feed/fresh.go
+++ b/internal/feed/fresh.go
@@ -92,12 +92,16 @@
 	}
 }
 
-// look polls the source because the active version was not confirmed for too long.
+// look polls the source because the active version was not confirmed for too long. What it finds is new to others as well, some of
+// whom may not look.
 func (f *Feed) look(ctx context.Context) {
 	metrics.GetOrCreateCounter(`pier_feed_looks_total{feed="` + f.Name + `"}`).Inc()
-	age := clock.Now() - f.ConfirmedAt()
-	slog.Info("object not confirmed, source polled", "feed", f.Name, "version", f.Current().Version.String(), "age", age.String())
+	version, age := f.Current().Version, clock.Now()-f.ConfirmedAt()
+	slog.Info("object not confirmed, source polled", "feed", f.Name, "version", version.String(), "age", age.String())
 	f.poll(ctx)
+	if f.OnFound != nil && f.Current().Version.After(version) {
+		f.OnFound()
+	}
 }
 
 // stale reports whether the active version was not confirmed for MaxAge.
