--- a/internal/blame/trial.go
+++ b/internal/blame/trial.go
@@ -68,7 +68,8 @@
 		}
 		s.startTrial(now)
 		claims = append(claims, claim{id, s.trials, s.claim})
-		t.pending.Trials = append(t.pending.Trials, Trial{ID: id, Count: s.trials, Failed: s.failed, Claim: s.claim, Wait: s.trialAt}) // flush replaces the time by the wait
+		trial := Trial{ID: id, Count: s.trials, Failed: s.failed, Claim: s.claim, Wait: s.trialAt} // flush replaces the time by the wait
+		t.pending.Trials = append(t.pending.Trials, trial)
 		t.schedule(0)
 		if s.whole {
 			break
--- a/internal/board/broadcast.go
+++ b/internal/board/broadcast.go
@@ -63,8 +63,8 @@
 	b.Broadcast(data)
 }
 
-// rebroadcastAndExpire broadcasts all own requests, and which entries of the list are not believed. It drops targets that have been missing from the list for too long,
-// and requests that their instance has not broadcast for instanceTimeout.
+// rebroadcastAndExpire broadcasts all own requests, and which entries of the list are not believed. It drops targets that have been
+// missing from the list for too long, and requests that their instance has not broadcast for instanceTimeout.
 func (b *Board) rebroadcastAndExpire() {
 	now := clock.Now()
 	b.broadcastOwn(now)
--- a/internal/board/leave.go
+++ b/internal/board/leave.go
@@ -150,7 +150,8 @@
 		b.noteDeparted(now, t)
 	case departed && old.born == t.Born && now < doubtUntil:
 		if s.doubtedUntil != doubtUntil {
-			slog.Info("target that has left is listed again, not used yet", "target", t.ID, "left_ms_ago", int64(now-old.at), "doubt_ms", int64(doubtUntil-now))
+			slog.Info("target that has left is listed again, not used yet", "target", t.ID,
+				"left_ms_ago", int64(now-old.at), "doubt_ms", int64(doubtUntil-now))
 		}
 		s.doubtedUntil = doubtUntil
 	default:
--- a/internal/board/predict.go
+++ b/internal/board/predict.go
@@ -63,7 +63,8 @@
 		switch {
 		case a.task.PrefillLeft > 0:
 			age := float64(now - a.placedAt)
-			losses[a.requestKey] += loss(age+after.PrefillEnds[i], a.request.FirstEventSLO, value) - loss(age+before.PrefillEnds[i], a.request.FirstEventSLO, value)
+			slo := a.request.FirstEventSLO
+			losses[a.requestKey] += loss(age+after.PrefillEnds[i], slo, value) - loss(age+before.PrefillEnds[i], slo, value)
 		case !a.isHelper():
 			losses[a.requestKey] += (lateLoss(after.LongestPass, a.request.EventGapSLO) - lateLoss(before.LongestPass, a.request.EventGapSLO)) * value
 		}
--- a/internal/detour/dialer.go
+++ b/internal/detour/dialer.go
@@ -121,7 +121,8 @@
 		return nil, err
 	}
 	if via, ok := first.conn.(*viaConn); ok {
-		slog.Info("target reached through another instance", "request", t.Request, "target", t.ID, "via", via.peer.Name, "took_ms", int64(clock.Now()-attempt.began))
+		slog.Info("target reached through another instance", "request", t.Request, "target", t.ID,
+			"via", via.peer.Name, "took_ms", int64(clock.Now()-attempt.began))
 	}
 	return first.conn, nil
 }
--- a/internal/relay/error.go
+++ b/internal/relay/error.go
@@ -9,7 +9,7 @@
 const (
 	NotSent        ErrorKind = "untouched" // the target was not reached, so it has not run the request
 	Broken         ErrorKind = "broken"    // the connection failed, or the answer ended early or could not be read
-	Mismatched     ErrorKind = "foreign"   // the answer belongs to another request, is not of a target or has the status of none, or an event is out of sequence
+	Mismatched     ErrorKind = "foreign"   // the answer belongs to another request or to no target, or an event is out of sequence
 	NotRunUnproven ErrorKind = "unproven"  // a status such as 503, without the statement that the request has not run
 	Stalled        ErrorKind = "silent"    // the target is down and silent, and another one goes on with the answer
 	MemoryIdle     ErrorKind = "idle"      // the target sent nothing, and the memory that was leased was not used
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -125,8 +125,9 @@
 	}
 	metrics.GetOrCreateHistogram(`pier_relay_seconds{service="` + s.Service + `"}`).Update(float64(took) / 1000)
 	slog.Info("request", "request", s.ID, "service", s.Service, "customer", s.Customer, "config", s.ConfigVersion,
-		"outcome", outcome, "cut", s.abortConn, "target", s.target, "limit", s.rateLimit, "helpers", s.helpers, "sent", s.attemptsSent, "unreachable", s.unreachableTargets,
-		"prompt", s.PromptTokens, "parts", s.SharedParts, "print", s.print, "predicted_ms", int64(s.predictedFirstEvent), "first_ms", int64(s.timeToFirstEvent), "aim_ms", int64(s.FirstEventSLO),
+		"outcome", outcome, "cut", s.abortConn, "target", s.target, "limit", s.rateLimit, "helpers", s.helpers,
+		"sent", s.attemptsSent, "unreachable", s.unreachableTargets, "prompt", s.PromptTokens, "parts", s.SharedParts, "print", s.print,
+		"predicted_ms", int64(s.predictedFirstEvent), "first_ms", int64(s.timeToFirstEvent), "aim_ms", int64(s.FirstEventSLO),
 		"events", s.eventsForwarded, "pause_ms", int64(s.longestGap), "pause_aim_ms", int64(s.EventGapSLO),
 		"left_ms", int64(s.Deadline-clock.Now()), "took_ms", int64(took))
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -78,7 +78,8 @@
 	}
 	return board.Requirements{
 		ID: r.ID, Service: r.Service, PromptTokens: r.PromptTokens, MaxOutputTokens: r.MaxOutputTokens,
-		FirstEventSLO: r.FirstEventSLO, EventGapSLO: r.EventGapSLO, Elapsed: now - waitingSince, Deadline: r.deadline(), Exclude: exclude, Begun: p.responseStarted,
+		FirstEventSLO: r.FirstEventSLO, EventGapSLO: r.EventGapSLO, Elapsed: now - waitingSince, Deadline: r.deadline(),
+		Exclude: exclude, Begun: p.responseStarted,
 	}
 }
 
