proof: Let a proxy keep the port that it was given

Traced: newFaultProxy asked for a free port, closed it and bound it again; something else had it by then. The proxy now binds port 0 itself and reports what it got, so that there is no time between. No check changes.

--- a/internal/proof/proxy_test.go
+++ b/internal/proof/proxy_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -25,12 +24,7 @@
 	discardProxyLog.Do(func() { logrus.SetOutput(io.Discard) })
 	p := toxiproxy.NewProxy()
 	p.Name, p.Upstream = upstream, upstream
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	p.Listen = l.Addr().String()
-	_ = l.Close()
+	p.Listen = "127.0.0.1:0" // replaced by the port that it gets
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
