board: Separate the token bucket from the named rate limit

Cause: the limit of cold targets needs two more token buckets, and there is to be one copy of the concept. Change: bucket.go has the bucket with its rate and burst; rateLimit embeds it and keeps what belongs to a limit that a target names. Result: go test -race ./internal/board passes, no test changed.

--- a/internal/board/limit.go
+++ b/internal/board/limit.go
@@ -21,20 +21,15 @@
 	PerSecond float64 `cbor:"3,keyasint,omitempty"`
 }
 
-// rateLimit is a token bucket for the requests that all instances together send to a target that names a limit. As the
-// placements of others are known a little later, more may be taken than there are tokens; the debt delays later requests.
+// rateLimit is the limit that a target names for the requests that all instances together send to it.
 type rateLimit struct {
+	bucket
 	named       bool         // the target names a limit
 	perSecond   float64      // as named
 	namedAt     clock.Millis // when an answer last named it
-	tokens      float64      // as of refilledAt; below zero if too much was taken
-	refilledAt  clock.Millis
 	lastProbeAt clock.Millis
 }
 
-// rate returns the requests per second that may be sent.
-func (l *rateLimit) rate() float64 { return max(l.perSecond, minLimit) }
-
 // set applies a limit that a target names, or the end of a limit. It reports whether that is news.
 func (l *rateLimit) set(now clock.Millis, limit *float64) bool {
 	if limit == nil {
@@ -43,47 +38,39 @@
 		return changed
 	}
 	if !l.named {
-		*l = rateLimit{refilledAt: now}
+		*l = rateLimit{bucket: bucket{refilledAt: now}}
 	}
-	l.refill(now)
 	changed := !l.named || l.perSecond != *limit
 	l.named, l.perSecond, l.namedAt = true, *limit, now
+	rate := max(l.perSecond, minLimit)
+	l.bucket.set(now, rate, 1+rate*limitBurst.Seconds())
 	return changed
 }
 
-// refill adds the tokens since the last call.
-func (l *rateLimit) refill(now clock.Millis) {
-	most := 1 + l.rate()*limitBurst.Seconds()
-	l.tokens = min(most, l.tokens+l.rate()*(now-l.refilledAt).Seconds())
-	l.refilledAt = now
-}
-
 // allows reports whether a request may be sent.
-func (l *rateLimit) allows(now clock.Millis) bool {
-	if !l.named {
-		return true
-	}
-	l.refill(now)
-	return l.tokens >= 1
-}
+func (l *rateLimit) allows(now clock.Millis) bool { return !l.named || l.bucket.allows(now) }
 
 // take counts a request.
 func (l *rateLimit) take(now clock.Millis) {
 	if l.named {
-		l.refill(now)
-		l.tokens--
+		l.bucket.take(now)
 	}
 }
 
 // probeDue reports whether the target may be probed, and records that it is.
 func (l *rateLimit) probeDue(now clock.Millis) bool {
-	if l.named && (now-l.lastProbeAt).Seconds()*limitProbeShare*l.rate() < 1 {
+	if l.named && !l.probeShareDue(now, l.rate) {
 		return false
 	}
 	l.lastProbeAt = now
 	return true
 }
 
+// probeShareDue reports whether the share of a rate that probes may take allows one.
+func (l *rateLimit) probeShareDue(now clock.Millis, rate float64) bool {
+	return (now-l.lastProbeAt).Seconds()*limitProbeShare*rate >= 1
+}
+
 // mayUse reports whether this instance may place a request on a target now without exceeding its rate limit. An instance
 // that does not hear of all placements there leaves the target to those that do.
 func (b *Board) mayUse(now clock.Millis, s *targetState) bool {
