board: Limit cold targets and start new ones slowly

Cause: a target that has just started, or has become cold again, bears a low rate of requests and crashes well above it. It is empty, so that all instances chose it. Change: two token buckets for each cold target, one charged with all placements that are heard and one of this instance alone, whose rates sum up to at most the limit (cold.go, cell.go). Cold times come from the entry, from answers, from the end of an evacuation (noteCold, coldTime) and from others (key 12 of packet, coldnews.go). Cold targets help nobody and get hedges only where nothing else is left. A target that starts or returns costs more for 3 s, also in choosePlain; the admission test leaves that cost out.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -39,6 +39,13 @@
 	// Unlinked reports whether this instance has lost its links to all targets, so that a target which it does not reach may be
 	// sound. Nil if it never does.
 	Unlinked func() bool
+	// Cold returns what the targets of a service bear while they are cold, and ColdLimit the limit on what they get. Without both,
+	// nothing is limited.
+	Cold      func(service string) ColdRate
+	ColdLimit func() ColdLimit
+	// Cell returns the names of the active instances of the cell, and whether this instance has joined the others. Nil if there are
+	// no others.
+	Cell func() (members []string, joined bool)
 
 	targets          map[string]*targetState      // by id
 	departed         map[string]departure         // targets that have left lately, by id
@@ -52,6 +59,9 @@
 	lastNumber       uint64 // number of the last own request, see firstNumber
 	remotePlacements placementRate
 	limitNamed       atomic.Bool // some target has named a rate limit
+	coldNamed        atomic.Bool // some target is cold, or was until lately
+	cell             cell
+	listed           bool // there was a list of targets
 }
 
 // packet is a datagram between instances.
@@ -66,6 +76,7 @@
 	Limits      []TargetLimit   `cbor:"9,keyasint,omitempty"` // changes of rate limits
 	Leaving     []TargetLeaving `cbor:"10,keyasint,omitempty"`
 	Doubted     []TargetDoubt   `cbor:"11,keyasint,omitempty"`
+	Cold        *coldNews       `cbor:"12,keyasint,omitempty"`
 }
 
 // Init prepares the state; it must be called before all other methods.
@@ -99,25 +110,31 @@
 // ReplaceTargets replaces the list of targets. Targets missing from it stay in use while it is incomplete, since those that are
 // alive will be listed again soon. Targets that have left take no requests while the list is in doubt.
 func (b *Board) ReplaceTargets(targets []Target, trust ListTrust) {
-	b.Loop.Post(func() {
-		now := clock.Now()
-		listed := make(map[string]bool, len(targets))
-		for _, t := range targets {
-			listed[t.ID] = true
-			b.target(t.ID).update(t, b.engine(t.Service))
-			b.noteListed(now, t, trust.DoubtUntil)
-		}
-		for id, s := range b.targets {
-			switch {
-			case listed[id] || s.delisted:
-			case now >= trust.IncompleteUntil:
-				b.noteDeparted(now, s.Target)
-				b.delist(id, s)
-			case s.missingUntil == 0:
-				s.missingUntil = trust.IncompleteUntil
-			}
+	b.Loop.Post(func() { b.applyTargets(clock.Now(), targets, trust) })
+}
+
+// applyTargets is ReplaceTargets on the control loop.
+func (b *Board) applyTargets(now clock.Millis, targets []Target, trust ListTrust) {
+	b.noteCell(now)
+	listed := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		listed[t.ID] = true
+		s := b.target(t.ID)
+		change := s.update(t, b.engine(t.Service))
+		b.noteStarted(now, s, change)
+		b.noteListed(now, t, trust.DoubtUntil)
+	}
+	for id, s := range b.targets {
+		switch {
+		case listed[id] || s.delisted:
+		case now >= trust.IncompleteUntil:
+			b.noteDeparted(now, s.Target)
+			b.delist(id, s)
+		case s.missingUntil == 0:
+			s.missingUntil = trust.IncompleteUntil
 		}
-	})
+	}
+	b.listed = true
 }
 
 // delist marks a target as no longer listed, and drops it once it has no requests.
@@ -134,15 +151,27 @@
 	return e
 }
 
+// entryChange says what is new in a target's entry.
+type entryChange struct {
+	returned bool // the target is new, has started again or takes requests again
+	cold     bool // its cold time or its start differ
+}
+
 // update applies an entry of the list of targets.
-func (s *targetState) update(t Target, e model.Engine) {
-	if t.Born != s.Born || t.Addr != s.Addr {
-		s.leaving, s.quietUntil, s.doubtedUntil = false, 0, 0
+func (s *targetState) update(t Target, e model.Engine) entryChange {
+	restarted := t.Born != s.Born || t.Addr != s.Addr
+	change := entryChange{
+		returned: s.delisted || restarted || s.Draining && !t.Draining,
+		cold:     s.delisted || restarted || t.WarmupLeft != s.WarmupLeft,
+	}
+	if restarted {
+		s.leaving, s.quietUntil, s.doubtedUntil, s.cold = false, 0, 0, coldState{}
 	}
 	if s.Draining && !t.Draining {
 		s.leaving = false
 	}
 	s.Target, s.schedule.Engine, s.delisted, s.missingUntil = t, e, false, 0
+	return change
 }
 
 // target returns the state of a target, and creates it if the target is known only from other instances so far.
@@ -160,15 +189,15 @@
 func (b *Board) Place(req Requirements) (*Placement, error) {
 	var p *Placement
 	var err error
-	if !b.Loop.Call(func() { p, err = b.place(req) }) {
+	if !b.Loop.Call(func() { p, err = b.place(clock.Now(), req) }) {
 		return nil, &Error{Op: "place", Kind: Stopped}
 	}
 	return p, err
 }
 
 // place is Place on the control loop.
-func (b *Board) place(req Requirements) (*Placement, error) {
-	now := clock.Now()
+func (b *Board) place(now clock.Millis, req Requirements) (*Placement, error) {
+	b.noteCell(now)
 	targets, short := b.eligibleTargets(now, req, b.inCell)
 	engine, isEngine := b.Engine(req.Service)
 	if isEngine && req.exceeds(engine, len(targets)) {
@@ -189,7 +218,7 @@
 			return nil, &Error{Op: "place", Kind: TooLarge}
 		}
 		chosen = chooseEngines(now, req, targets, b.randomness(now, len(targets)))
-		if chosen.primary != nil && !req.Begun && chosen.cost+timePrice(targets)*engine.PrefillTime(req.PromptTokens) > req.value() {
+		if chosen.primary != nil && !req.Begun && chosen.cost-chosen.startCost+timePrice(targets)*engine.PrefillTime(req.PromptTokens) > req.value() {
 			return nil, &Error{Op: "place", Kind: Costly}
 		}
 	} else {
@@ -221,6 +250,7 @@
 // shortage says why targets were left out that may run a request later.
 type shortage struct {
 	limited bool         // some have reached their rate limits
+	wait    clock.Millis // time until the first cold one of these may take a request; zero if none is cold
 	quiet   clock.Millis // time until the first of those that want no requests for a while takes one; zero if there is none
 }
 
@@ -228,7 +258,7 @@
 func (s shortage) err() error {
 	switch {
 	case s.limited:
-		return &Error{Op: "place", Kind: Limited}
+		return &Error{Op: "place", Kind: Limited, Wait: s.wait}
 	case s.quiet > 0:
 		return &Error{Op: "place", Kind: Quiet, Wait: s.quiet}
 	default:
@@ -236,6 +266,14 @@
 	}
 }
 
+// addLimited records a target that has reached a rate limit, and after how long it may take a request if it is cold.
+func (s *shortage) addLimited(wait clock.Millis) {
+	s.limited = true
+	if wait > 0 && (s.wait == 0 || wait < s.wait) {
+		s.wait = wait
+	}
+}
+
 // addQuiet records a target that wants no requests for so long.
 func (s *shortage) addQuiet(left clock.Millis) {
 	if s.quiet == 0 || left < s.quiet {
@@ -244,21 +282,28 @@
 }
 
 // eligibleTargets returns the targets that may run a request. If there are none in the cell, it falls back to those of other
-// cells, then to ejected targets, and then to the targets that the request excludes.
+// cells, then to ejected targets, for hedges then to cold ones, and then to the targets that the request excludes.
 func (b *Board) eligibleTargets(now clock.Millis, req Requirements, inCell func(target string) bool) (eligible []*targetState, short shortage) {
-	var usable, elsewhere, ejected, excluded []*targetState
+	var usable, elsewhere, ejected, cold, excluded []*targetState
 	for _, s := range b.targets {
 		if s.Service != req.Service {
 			continue
 		}
+		if s.closed(now) {
+			if s.onlyQuiet(now) {
+				short.addQuiet(s.quietUntil - now)
+			}
+			continue
+		}
+		if may, wait := b.mayUse(now, s); !may {
+			short.addLimited(wait)
+			continue
+		}
 		switch {
-		case s.onlyQuiet(now):
-			short.addQuiet(s.quietUntil - now)
-		case s.closed(now):
-		case !b.mayUse(now, s):
-			short.limited = true
 		case req.Exclude[s.ID]:
 			excluded = append(excluded, s)
+		case req.Hedge && now < s.cold.end():
+			cold = append(cold, s)
 		case s.usable(now) && inCell(s.ID):
 			usable = append(usable, s)
 		case s.usable(now):
@@ -267,7 +312,7 @@
 			ejected = append(ejected, s)
 		}
 	}
-	for _, targets := range [][]*targetState{usable, elsewhere, ejected} {
+	for _, targets := range [][]*targetState{usable, elsewhere, ejected, cold} {
 		if len(targets) > 0 {
 			return targets, short
 		}
--- a/internal/board/boards_test.go
+++ b/internal/board/boards_test.go
@@ -24,6 +24,9 @@
 	long   = Requirements{Service: "models", PromptTokens: 182_000, MaxOutputTokens: 650, FirstEventSLO: 3000, EventGapSLO: 1000}
 )
 
+// testEngines is the model of the engines of the service models; other services are plain.
+func testEngines(service string) (model.Engine, bool) { return testEngine, service == "models" }
+
 // inFlight counts datagrams that are sent and not yet with the loop of their receiver.
 var inFlight atomic.Int64
 
@@ -36,7 +39,7 @@
 	for i := range boards {
 		boards[i] = &Board{
 			Self: fmt.Sprintf("entry-%d", i), Zone: "a", Loop: loop.New(),
-			Engine: func(service string) (model.Engine, bool) { return testEngine, service == "models" },
+			Engine: testEngines,
 		}
 		boards[i].Broadcast = func(data []byte) {
 			for j, other := range boards {
--- a/internal/board/broadcast.go
+++ b/internal/board/broadcast.go
@@ -11,7 +11,8 @@
 
 // empty reports whether a datagram has no content.
 func (p packet) empty() bool {
-	return len(p.Placed)+len(p.FirstEvents)+len(p.Ended)+len(p.Failed)+len(p.Unreachable)+len(p.Probes)+len(p.Limits)+len(p.Leaving)+len(p.Doubted) == 0
+	return len(p.Placed)+len(p.FirstEvents)+len(p.Ended)+len(p.Failed)+len(p.Unreachable)+len(p.Probes)+len(p.Limits)+len(p.Leaving)+len(p.Doubted) == 0 &&
+		p.Cold == nil
 }
 
 // flush broadcasts the changes since the last flush.
@@ -42,7 +43,9 @@
 	b.flush()
 	if b.announce {
 		b.announce = false
-		b.broadcastOwn(clock.Now())
+		now := clock.Now()
+		b.broadcastOwn(now)
+		b.broadcastCold(now, true)
 	}
 }
 
@@ -67,7 +70,10 @@
 // missing from the list for too long, and requests that their instance has not broadcast for instanceTimeout.
 func (b *Board) rebroadcastAndExpire() {
 	now := clock.Now()
+	b.noteCell(now)
+	b.noteWarm(now)
 	b.broadcastOwn(now)
+	b.broadcastCold(now, false)
 	for id, s := range b.targets {
 		if s.missingUntil > 0 && now >= s.missingUntil && !s.delisted {
 			slog.Info("target still missing from the list, dropped", "target", id)
@@ -109,12 +115,11 @@
 	if err := cbor.Unmarshal(data, &p); err != nil || p.From == b.Self {
 		return
 	}
-	b.Loop.Post(func() { b.applyPacket(p) })
+	b.Loop.Post(func() { b.applyPacket(clock.Now(), p) })
 }
 
 // applyPacket applies the content of a datagram.
-func (b *Board) applyPacket(p packet) {
-	now := clock.Now()
+func (b *Board) applyPacket(now clock.Millis, p packet) {
 	for _, r := range p.Placed {
 		k := requestKey{p.From, r.Number}
 		switch {
@@ -140,6 +145,9 @@
 	for _, d := range p.Doubted {
 		b.applyDoubt(now, d)
 	}
+	if p.Cold != nil {
+		b.applyCold(now, *p.Cold)
+	}
 	for _, r := range p.Probes {
 		b.applyProbe(r)
 	}
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -44,6 +44,7 @@
 	splitMemory bool    // helpers keep their parts in memory until the answer ends
 	firstEvent  float64 // predicted, milliseconds from now
 	cost        float64
+	startCost   float64 // part of the cost that keeps requests from engines that have just started; nothing is lost by it
 }
 
 // chooseEngines returns the choice of one engine, or of several for a long prompt, by which the request and those that it
@@ -107,6 +108,7 @@
 type candidate struct {
 	*targetState
 	cost         float64
+	startCost    float64                // part of the cost, see choice.startCost
 	prefillEnd   float64                // milliseconds until its part is prefilled
 	firstEvent   float64                // milliseconds until the first event, if this part is the last to be prefilled
 	lossToOthers map[requestKey]float64 // value that each other request on the engine loses
@@ -165,11 +167,11 @@
 }
 
 // rankHelpers returns the engines other than first with enough free memory for a part, the cheapest ones first. An engine
-// that names a rate limit helps nobody.
+// that names a rate limit, or is cold or was until lately, helps nobody.
 func rankHelpers(now clock.Millis, req Requirements, targets []*targetState, parts, memory int, first *targetState) []candidate {
 	candidates := make([]candidate, 0, len(targets))
 	for _, s := range targets {
-		if s != first && !s.limit.named && s.hasMemory(memory) {
+		if s != first && !s.limit.named && s.cold.factor(now) == 0 && s.hasMemory(memory) {
 			candidates = append(candidates, s.evaluate(now, req, parts, true))
 		}
 	}
@@ -178,7 +180,8 @@
 }
 
 // evaluate predicts the cost of having the engine prefill one of several equal parts: the value that the request and others
-// lose by delay, by the risk of a failure, and on a primary by keeping the engine from long passes.
+// lose by delay, by the risk of a failure, and on a primary by keeping the engine from long passes. An engine that has just started
+// costs as much more as a first event loses that just meets its objective.
 func (s *targetState) evaluate(now clock.Millis, req Requirements, parts int, helper bool) candidate {
 	c := candidate{targetState: s}
 	task := s.schedule.Engine.NewTask(req.PromptTokens, parts, req.PromptTokens/parts, req.MaxOutputTokens, helper)
@@ -186,7 +189,8 @@
 	c.prefillEnd = after.PrefillEnds[len(after.PrefillEnds)-1]
 	c.firstEvent = c.prefillEnd + s.firstEventDelay(after)
 	c.lossToOthers = s.otherLosses(now, after)
-	c.cost = req.loss(c.firstEvent) + s.failureRate(now)*req.value()
+	c.startCost = onTimeLoss * s.cold.startWeight(now) * req.value() / float64(parts)
+	c.cost = req.loss(c.firstEvent) + s.failureRate(now)*req.value() + c.startCost
 	if !helper {
 		c.cost += longPassPrice * s.addedLongPassBlockTime(req)
 	}
@@ -206,6 +210,7 @@
 			total.helpers = append(total.helpers, c.targetState)
 		}
 		total.firstEvent = max(total.firstEvent, c.prefillEnd)
+		total.startCost += c.startCost
 		total.cost += c.cost - req.loss(c.firstEvent)
 		for k, lost := range c.lossToOthers {
 			total.cost -= lost
--- /dev/null
+++ b/internal/board/coldnews.go
@@ -0,0 +1,100 @@
+package board
+
+import (
+	"log/slog"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+)
+
+// ColdNotice is the cold time that a target names in an answer.
+type ColdNotice struct {
+	Named   bool         // the answer names one
+	Left    clock.Millis // zero if the target is not cold
+	AskedAt clock.Millis // when the request was sent
+}
+
+// TargetCold says for how long a target is cold, as instances broadcast it.
+type TargetCold struct {
+	Target   string       `cbor:"1,keyasint"`
+	Born     clock.Millis `cbor:"2,keyasint,omitempty"` // see Target.Born
+	Left     clock.Millis `cbor:"3,keyasint,omitempty"` // by its entry in the list and its answers
+	Returned clock.Millis `cbor:"4,keyasint,omitempty"` // the same by the end of an evacuation
+	Ended    bool         `cbor:"5,keyasint,omitempty"` // an answer has ended what its entry and answers gave
+}
+
+// coldNews is what an instance tells others of cold targets.
+type coldNews struct {
+	Targets []TargetCold `cbor:"1,keyasint,omitempty"`
+	All     bool         `cbor:"2,keyasint,omitempty"` // with this datagram the sender has told all that it knows
+}
+
+// told returns what this instance tells of a target: what it has learned itself. If instances told each other's word, they would
+// prolong it each time by the delay of the network.
+func (s *targetState) told(now clock.Millis) TargetCold {
+	left := max(s.cold.until[fromEntry], s.cold.until[fromAnswer]) - now
+	return TargetCold{Target: s.ID, Born: s.Born, Left: max(0, left), Returned: max(0, s.cold.until[fromReturn]-now)}
+}
+
+// tellCold broadcasts a change of a target's cold time with the next flush, or at once if a datagram is full.
+func (b *Board) tellCold(change TargetCold) {
+	if b.pending.Cold == nil {
+		b.pending.Cold = &coldNews{}
+	}
+	b.pending.Cold.Targets = append(b.pending.Cold.Targets, change)
+	if len(b.pending.Cold.Targets) >= maxPacketRequests {
+		b.flush()
+		return
+	}
+	b.scheduleFlush()
+}
+
+// broadcastCold broadcasts the targets of which this instance has learned by their answers that they are cold, for instances that have
+// missed earlier datagrams. With all it broadcasts all cold targets, for those that have joined.
+func (b *Board) broadcastCold(now clock.Millis, all bool) {
+	if _, enabled := b.coldLimit(); !enabled {
+		return
+	}
+	news := coldNews{All: all}
+	for _, s := range b.targets {
+		told := s.told(now)
+		if told.Left+told.Returned == 0 || !all && s.cold.until[fromAnswer] <= now {
+			continue
+		}
+		if len(news.Targets) == maxPacketRequests {
+			b.broadcast(packet{Cold: &coldNews{Targets: news.Targets}})
+			news.Targets = nil
+		}
+		news.Targets = append(news.Targets, told)
+	}
+	if all || len(news.Targets) > 0 {
+		b.broadcast(packet{Cold: &news})
+	}
+}
+
+// applyCold applies what another instance has told of cold targets.
+func (b *Board) applyCold(now clock.Millis, news coldNews) {
+	for _, t := range news.Targets {
+		b.applyTargetCold(now, t)
+	}
+	b.cell.told = b.cell.told || news.All
+}
+
+// applyTargetCold applies what another instance has told of one target. Its end is not applied right after the target was said to be
+// cold, as it may be older than that.
+func (b *Board) applyTargetCold(now clock.Millis, t TargetCold) {
+	s := b.targets[t.Target]
+	if s == nil || s.Born != t.Born {
+		return
+	}
+	if t.Left < 0 || t.Returned < 0 || max(t.Left, t.Returned) > maxColdTime {
+		slog.Info("cold time of a target out of range", "target", t.Target, "left_ms", int64(t.Left), "returned_ms", int64(t.Returned))
+		metrics.GetOrCreateCounter(`pier_board_cold_invalid_total`).Inc()
+	}
+	if t.Ended && now-s.cold.namedAt >= coldNewsMargin {
+		s.cold.finish(now, fromEntry, fromAnswer, entryOfOther)
+	}
+	b.prolongCold(now, s, returnOfOther, t.Returned)
+	b.prolongCold(now, s, entryOfOther, t.Left)
+}
--- a/internal/board/leave.go
+++ b/internal/board/leave.go
@@ -22,6 +22,7 @@
 type Notice struct {
 	Leaving bool         // it takes no more requests
 	Quiet   clock.Millis // for so long it wants no requests from this instance; zero if it does not ask for that
+	Cold    ColdNotice
 }
 
 // TargetLeaving says that a target takes no more requests, as instances broadcast it.
@@ -30,13 +31,18 @@
 	Born   clock.Millis `cbor:"2,keyasint,omitempty"` // see Target.Born
 }
 
-// RecordNotice records what the target says of itself in an answer, and broadcasts that it leaves. That it wants no requests
-// for a while concerns this instance alone.
+// RecordNotice records what the target says of itself in an answer, and broadcasts that it leaves or is cold. That it wants no
+// requests for a while concerns this instance alone.
 func (p *Placement) RecordNotice(n Notice) { p.board.RecordNotice(p.Target, n) }
 
 // RecordNotice does the same for an answer to anything but a placed request. A notice of an earlier start of the target is
 // ignored.
-func (b *Board) RecordNotice(t Target, n Notice) { b.Loop.Post(func() { b.recordNotice(t, n) }) }
+func (b *Board) RecordNotice(t Target, n Notice) {
+	if !n.Leaving && n.Quiet == 0 && n.Cold.Left == 0 && !b.coldNamed.Load() {
+		return // no target is cold, so that there is nothing to end
+	}
+	b.Loop.Post(func() { b.recordNotice(t, n) })
+}
 
 // recordNotice is RecordNotice on the control loop.
 func (b *Board) recordNotice(t Target, n Notice) {
@@ -49,6 +55,9 @@
 		slog.Info("target wants no requests", "target", t.ID, "for_ms", int64(n.Quiet))
 		metrics.GetOrCreateCounter(`pier_board_target_quiet_total`).Inc()
 	}
+	if n.Cold.Named {
+		b.noteAnswered(clock.Now(), s, n.Cold)
+	}
 	if n.Leaving && b.closeLeaving(t.ID, t.Born) {
 		b.pending.Leaving = append(b.pending.Leaving, TargetLeaving{Target: t.ID, Born: t.Born})
 		b.flush()
--- a/internal/board/limit.go
+++ b/internal/board/limit.go
@@ -72,12 +72,13 @@
 }
 
 // mayUse reports whether this instance may place a request on a target now without exceeding its rate limit. An instance
-// that does not hear of all placements there leaves the target to those that do.
-func (b *Board) mayUse(now clock.Millis, s *targetState) bool {
-	if s.limit.named && b.HearsPlacements != nil && !b.HearsPlacements(s.ID) {
-		return false
+// that does not hear of all placements there leaves the target to those that do. If the target is cold, wait says after how long it
+// may take a request.
+func (b *Board) mayUse(now clock.Millis, s *targetState) (ok bool, wait clock.Millis) {
+	if s.limit.named && b.HearsPlacements != nil && !b.HearsPlacements(s.ID) || !s.limit.allows(now) {
+		return false, 0
 	}
-	return s.limit.allows(now)
+	return b.coldAllows(now, s)
 }
 
 // RecordRateLimit records the rate limit that the target names in an answer, or that it names none, and broadcasts changes.
--- a/internal/board/probe.go
+++ b/internal/board/probe.go
@@ -33,7 +33,7 @@
 	var targets []Target
 	b.Loop.Call(func() {
 		for id, s := range b.targets {
-			if !s.closed(clock.Now()) && b.engine(s.Service).PrefillRate > 0 && b.Monitors(id) && s.limit.probeDue(clock.Now()) {
+			if !s.closed(clock.Now()) && b.engine(s.Service).PrefillRate > 0 && b.Monitors(id) && b.probeDue(clock.Now(), s) {
 				targets = append(targets, s.Target)
 			}
 		}
@@ -80,6 +80,7 @@
 	}
 	now := clock.Now()
 	s.limit.take(now)
+	b.chargeCold(now, s, false)
 	if !r.Down {
 		s.reportedSlowdown, s.reportedAt = r.Slowdown, now
 		if s.down {
--- a/internal/board/request.go
+++ b/internal/board/request.go
@@ -31,6 +31,7 @@
 	Elapsed         clock.Millis    // since the caller's request arrived
 	Deadline        clock.Millis    // point in time
 	Exclude         map[string]bool // ids of targets to avoid
+	Hedge           bool            // it goes to a second target beside a silent one
 	Begun           bool            // the caller has a part of the answer, so that it can't be refused any more, only cut
 }
 
--- a/internal/board/target.go
+++ b/internal/board/target.go
@@ -35,6 +35,7 @@
 	answerTime       float64      // moving average of the time to a complete answer, milliseconds
 	lastAnswerAt     clock.Millis // when the last answer was complete
 	limit            rateLimit
+	cold             coldState
 	schedule         model.Schedule
 	baseline         model.Forecast // forecast without the request that is being placed
 }
--- a/internal/board/tracking.go
+++ b/internal/board/tracking.go
@@ -26,6 +26,7 @@
 		s.schedule.Add(float64(now), task)
 		if r.Age <= rebroadcastInterval { // an older one is told of again, and was counted before
 			s.limit.take(now)
+			b.chargeCold(now, s, k.owner == b.Self)
 		}
 		s.assignments = append(s.assignments, &assignment{requestKey: k, request: r, placedAt: now - r.Age, task: task})
 	}
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -93,7 +93,9 @@
 	if _, quarantined := s.relay.Blame.Quarantined(s.blamed); quarantined {
 		return nil
 	}
-	placement, err := s.relay.Place(s.placementRequirements(since, w.exclude))
+	req := s.placementRequirements(since, w.exclude)
+	req.Hedge = true
+	placement, err := s.relay.Place(req)
 	if err != nil {
 		w.recordNoHedge(string(refusalReason(err)), since)
 		return nil
