--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -122,6 +122,7 @@
 	if split {
 		partMemory = req.PromptTokens / parts
 		memory = partMemory + req.MaxOutputTokens
+		targets = warm(now, targets) // it waits for leases, so that several might be sent to a cold one at once
 	}
 	first := choosePrimary(now, req, targets, parts, memory, random)
 	if first == nil || split && parts < 2 {
@@ -139,6 +140,11 @@
 	return result
 }
 
+// warm returns the targets that are not cold, nor were until lately.
+func warm(now clock.Millis, targets []*targetState) []*targetState {
+	return slices.DeleteFunc(slices.Clone(targets), func(s *targetState) bool { return s.cold.factor(now) > 0 })
+}
+
 // choosePrimary returns the cheapest engine with enough free memory, or nil. It chooses at random among the cheapest engines
 // whose costs count as equal.
 func choosePrimary(now clock.Millis, req Requirements, targets []*targetState, parts, memory int, random randomness) *candidate {
--- a/internal/board/cold_test.go
+++ b/internal/board/cold_test.go
@@ -317,12 +317,12 @@
 	is.Equal(p.Target.ID, "plain-0")
 }
 
-// Guards against: a cold engine prefills parts of long prompts for others.
+// Guards against: a cold engine prefills parts of long prompts for others, or gets several prompts at once that have waited for leases.
 func TestColdEngineHelpsNobody(t *testing.T) {
 	is := is.New(t)
 	start := clock.Now()
 	var targets []Target
-	for n := range 8 {
+	for n := range 18 {
 		targets = append(targets, Target{ID: fmt.Sprintf("engine-%d", n), Service: "models", Zone: "a", Slots: 16, Born: 1})
 		if n < 2 {
 			targets[n].WarmupLeft = clock.Minute
@@ -340,6 +340,15 @@
 		b.removeRequest(requestKey{b.Self, p.number})
 	}
 	is.True(helpers > 0)
+	huge := Requirements{Service: "models", PromptTokens: 900_000, MaxOutputTokens: 600, FirstEventSLO: 3000, EventGapSLO: 1000}
+	for n := range clock.Millis(10) {
+		p, err := b.place(start+(20+n)*clock.Second, huge)
+		is.NoErr(err)
+		for _, engine := range p.Leased() {
+			is.True(engine.ID != "engine-0" && engine.ID != "engine-1")
+		}
+		b.removeRequest(requestKey{b.Self, p.number})
+	}
 }
 
 // What a target says of itself counts until its latest end. Zero ends only what the entry and answers gave, and not if the request was
--- a/internal/board/request.go
+++ b/internal/board/request.go
@@ -16,7 +16,7 @@
 	Zone       string       `json:"zone"`
 	Slots      int          `json:"slots"`              // requests that can run at once
 	Draining   bool         `json:"draining,omitempty"` // it gets no new requests
-	WarmupLeft clock.Millis `json:"cold,omitempty"`     // for how much longer it is slow after its start
+	WarmupLeft clock.Millis `json:"cold,omitempty"`     // for how much longer it is slow, and cold, after its start
 	Born       clock.Millis `json:"born,omitempty"`     // when it started, which tells its starts under one id apart; zero if unknown
 }
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -106,7 +106,7 @@
 	TooLarge     Reason = "too_large"     // no engine can hold the prompt
 	Costly       Reason = "costly"        // the engines are busy, and the prompt would make other requests miss their objectives
 	Full         Reason = "full"          // no engine has enough free memory, or the request cannot be placed for another reason
-	Limited      Reason = "limited"       // all targets have reached the rate limits that they name
+	Limited      Reason = "limited"       // all targets have reached the rate limits that they name, or bear while they are cold
 	Quiet        Reason = "quiet"         // all targets want no requests for a while
 	Refused      Reason = "refused"       // none of the targets that were tried ran the request
 	Expired      Reason = "expired"       // the deadline passed, or was too near, before the request could have run
