relay: Test that hedges are placed as hedges

Cause: nothing kept a hedge from being placed as any other attempt, which would send it to a cold target.

--- a/internal/relay/hedged_test.go
+++ b/internal/relay/hedged_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"github.com/rotisserie/eris"
 
+	"github.com/corianderpier/corianderpier/internal/board"
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/ticket"
 )
@@ -206,3 +207,22 @@
 		is.True(released[id].Sub(broke) < 500*time.Millisecond)
 	}
 }
+
+// Guards against: a hedge is placed as any other attempt, so that it goes to a cold target although others are left.
+func TestHedgePlacedAsHedge(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var hedges, others atomic.Int64
+	place := func(req board.Requirements) (*board.Placement, error) {
+		if req.Hedge {
+			hedges.Add(1)
+		} else {
+			others.Add(1)
+		}
+		return costly(req)
+	}
+	_, aborted := (&silentSite{next: notRun}).serve(t, resumable, eventsBetween(1, 2), eventsBetween(3, 6), place)
+	is.True(!aborted)
+	is.True(hedges.Load() > 0)
+	is.Equal(others.Load(), int64(0)) // all but the first attempt are hedges here
+}
