--- a/internal/board/cell.go
+++ b/internal/board/cell.go
@@ -4,7 +4,7 @@
 
 const (
 	cellInterval = 100 * clock.Millis(1) // between looks at which instances are active
-	cellMemory   = 10 * clock.Second     // for which an instance counts as one of the cell after it was active, so that views which miss some do not raise the sum of their rates
+	cellMemory   = 10 * clock.Second     // for which an instance counts as active, so that views which miss some do not raise the sum of the rates
 	unknownCell  = 24                    // instances that a cell may have, assumed until this one has joined
 )
 
--- a/internal/board/cold_test.go
+++ b/internal/board/cold_test.go
@@ -437,7 +437,8 @@
 // Guards against: instances of an earlier build do not understand datagrams that tell of cold targets.
 func TestColdNewsIgnoredByEarlierBuild(t *testing.T) {
 	is := is.New(t)
-	data, err := cbor.Marshal(packet{From: "entry-1", Ended: []uint64{3}, Cold: &coldNews{Targets: []TargetCold{{Target: "plain-0", Left: 5}}, All: true}})
+	news := &coldNews{Targets: []TargetCold{{Target: "plain-0", Left: 5}}, All: true}
+	data, err := cbor.Marshal(packet{From: "entry-1", Ended: []uint64{3}, Cold: news})
 	is.NoErr(err)
 	var earlier struct {
 		From  string   `cbor:"1,keyasint"`
--- a/internal/board/coldviews_test.go
+++ b/internal/board/coldviews_test.go
@@ -189,7 +189,7 @@
 		c.run(instances, 3, 0)
 		seconds := int(coldSimTime / clock.Second)
 		is.True(len(c.sent) <= testColdRate*seconds+int(testColdLimit.Slack)+instances)
-		is.True(len(c.sent) >= testColdRate*(seconds-2)*4/5) // but for the time in which instances that start wait, and that in which a token waits for a request
+		is.True(len(c.sent) >= testColdRate*(seconds-2)*4/5) // but for waits at the start and for requests
 	}
 }
 
