board: Price slots while they are scarce

Cause: on crests of short prompts (460 short prompts a second on 65 engines of 12 slots), all slots were in use for six seconds. Every prompt was placed, waited in an engine's queue, and nearly all were a little late: 673 of 927 in the two worst seconds, p50 466 ms with an objective of 300. Nothing in the choice said that a slot is taken from a request that comes later.

The length of answers is learned, as predictions took them for as long as callers allow. TestCrestBeyondSlots fails without the price.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -51,7 +51,8 @@
 	announce         bool   // set when instances have joined, which do not know the own requests yet
 	lastNumber       uint64 // number of the last own request, see firstNumber
 	remotePlacements placementRate
-	limitNamed       atomic.Bool // some target has named a rate limit
+	limitNamed       atomic.Bool              // some target has named a rate limit
+	answers          map[string]*answerLength // by service
 }
 
 // packet is a datagram between instances.
@@ -76,6 +77,7 @@
 	b.ownRequests = make(map[uint64]*ActiveRequest)
 	b.placedAt = make(map[uint64]clock.Millis)
 	b.placements = make(map[uint64]*Placement)
+	b.answers = make(map[string]*answerLength)
 	b.lastNumber = firstNumber()
 }
 
@@ -188,8 +190,9 @@
 		if req.exceeds(engine, len(targets)) {
 			return nil, &Error{Op: "place", Kind: TooLarge}
 		}
+		req.expectedOutput = b.expectedOutput(req.Service, req.MaxOutputTokens)
 		chosen = chooseEngines(now, req, targets, b.randomness(now, len(targets)))
-		if chosen.primary != nil && !req.Begun && chosen.cost+timePrice(targets)*engine.PrefillTime(req.PromptTokens) > req.value() {
+		if chosen.primary != nil && !req.Begun && chosen.cost+b.capacityCost(req, engine, targets, chosen) > req.value() {
 			return nil, &Error{Op: "place", Kind: Costly}
 		}
 	} else {
--- /dev/null
+++ b/internal/board/scarce_test.go
@@ -0,0 +1,79 @@
+package board
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+)
+
+// fillSlots places short prompts that have begun to be answered until one is refused, and returns the placements.
+func fillSlots(t *testing.T, b *Board, most int) ([]*Placement, error) {
+	t.Helper()
+	var placed []*Placement
+	for range most {
+		p, err := b.Place(short)
+		if err != nil {
+			return placed, err
+		}
+		p.RecordFirstEvent()
+		placed = append(placed, p)
+	}
+	return placed, nil
+}
+
+// Pattern: for seconds, more short prompts arrive than there are slots for. Those that would be late are refused at once, so that the
+// others are not: with a queue at the engines, nearly all would be a little late. Guards against refusals while slots are free.
+func TestCrestBeyondSlots(t *testing.T) {
+	is := is.New(t)
+	const engines = 4
+	b := newBoards(t, 1, engines)[0]
+	placed, err := fillSlots(t, b, 3*engines*testEngine.Slots)
+	var e *Error
+	is.True(eris.As(err, &e))
+	is.Equal(e.Kind, Costly)
+	is.True(len(placed) >= engines*testEngine.Slots) // nothing is refused while there is a free slot
+	for _, p := range placed {
+		is.True(p.PredictedFirstEvent <= short.FirstEventSLO*115/100)
+	}
+	for _, p := range placed[:testEngine.Slots] {
+		p.End(Succeeded)
+	}
+	p, err := b.Place(short)
+	is.NoErr(err) // an answer has ended, and its slot is free
+	is.True(p.PredictedFirstEvent < short.FirstEventSLO)
+}
+
+// Slots have no price while some are free, also beside a long backlog of prefill. Guards against refusals for want of slots that are
+// there.
+func TestFreeSlotsCostNothing(t *testing.T) {
+	is := is.New(t)
+	b := newBoards(t, 1, 4)[0]
+	_, err := fillSlots(t, b, 2*testEngine.Slots)
+	is.NoErr(err)
+	var price float64
+	b.Loop.Call(func() {
+		targets, _ := b.eligibleTargets(clock.Now(), short, anyCell)
+		price = b.slotPrice(short.Service, targets)
+	})
+	is.Equal(price, 0.0)
+}
+
+// Answers that are shorter than callers allow are expected to be as short next time, but never to have no length at all. Guards
+// against slots that count as in use long after their answers have ended.
+func TestAnswerLengthLearned(t *testing.T) {
+	is := is.New(t)
+	b := newBoards(t, 1, 1)[0]
+	is.Equal(b.expectedOutput("engine", 1000), 1000)
+	for range 10 * answerMemory {
+		b.recordAnswer("engine", 5, 20)
+	}
+	is.Equal(b.expectedOutput("engine", 1000), 250)
+	for range 100 * answerMemory {
+		b.recordAnswer("engine", 0, 20)
+	}
+	is.True(b.expectedOutput("engine", 1000) > 0)
+	is.Equal(b.expectedOutput("other", 1000), 1000)
+}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -51,5 +51,8 @@
 	return float64(max(e.StepsPerPass, 1)) * step
 }
 
+// Passes returns how many passes it takes to generate a number of tokens.
+func (e Engine) Passes(tokens int) float64 { return float64(tokens) / float64(max(e.StepsPerPass, 1)) }
+
 // MaxPassTokens returns the most prompt tokens that a pass prefills while it decodes other sequences.
 func (e Engine) MaxPassTokens() int { return e.ChunkTokens * max(e.StepsPerPass, 1) }
--- a/internal/model/schedule.go
+++ b/internal/model/schedule.go
@@ -107,7 +107,7 @@
 
 // beginPass starts a pass with the tasks that have arrived.
 func (s *Schedule) beginPass() {
-	sequences, context := s.decodingLoad()
+	sequences, context := s.DecodingLoad()
 	length := s.Engine.DecodePassTime(sequences, context)
 	tokens := s.Engine.MaxPassTokens()
 	s.visitPrefills(func(t *Task) bool {
@@ -199,12 +199,12 @@
 
 // decodingCount returns the number of sequences being decoded.
 func (s *Schedule) decodingCount() int {
-	count, _ := s.decodingLoad()
+	count, _ := s.DecodingLoad()
 	return count
 }
 
-// decodingLoad returns the number of sequences being decoded and the total tokens of their prompts.
-func (s *Schedule) decodingLoad() (sequences, context int) {
+// DecodingLoad returns the number of sequences being decoded and the total tokens of their prompts.
+func (s *Schedule) DecodingLoad() (sequences, context int) {
 	for _, t := range s.Tasks {
 		if t.decoding() {
 			sequences++
