board: Refuse for want of slots under a reason of its own, and learn no lengths

Change: predictions are as they were; a request that is refused for want of slots has the reason scarce, and only its caller is told to come back later and at random.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -51,8 +51,7 @@
 	announce         bool   // set when instances have joined, which do not know the own requests yet
 	lastNumber       uint64 // number of the last own request, see firstNumber
 	remotePlacements placementRate
-	limitNamed       atomic.Bool              // some target has named a rate limit
-	answers          map[string]*answerLength // by service
+	limitNamed       atomic.Bool // some target has named a rate limit
 }
 
 // packet is a datagram between instances.
@@ -77,7 +76,6 @@
 	b.ownRequests = make(map[uint64]*ActiveRequest)
 	b.placedAt = make(map[uint64]clock.Millis)
 	b.placements = make(map[uint64]*Placement)
-	b.answers = make(map[string]*answerLength)
 	b.lastNumber = firstNumber()
 }
 
@@ -190,10 +188,11 @@
 		if req.exceeds(engine, len(targets)) {
 			return nil, &Error{Op: "place", Kind: TooLarge}
 		}
-		req.expectedOutput = b.expectedOutput(req.Service, req.MaxOutputTokens)
 		chosen = chooseEngines(now, req, targets, b.randomness(now, len(targets)))
-		if chosen.primary != nil && !req.Begun && chosen.cost+b.capacityCost(req, engine, targets, chosen) > req.value() {
-			return nil, &Error{Op: "place", Kind: Costly}
+		if chosen.primary != nil && !req.Begun {
+			if err := admit(req, engine, targets, chosen); err != nil {
+				return nil, err
+			}
 		}
 	} else {
 		chosen = choosePlain(now, b.Zone, targets)
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -181,7 +181,7 @@
 // lose by delay, by the risk of a failure, and on a primary by keeping the engine from long passes.
 func (s *targetState) evaluate(now clock.Millis, req Requirements, parts int, helper bool) candidate {
 	c := candidate{targetState: s}
-	task := s.schedule.Engine.NewTask(req.PromptTokens, parts, req.PromptTokens/parts, req.output(), helper)
+	task := s.schedule.Engine.NewTask(req.PromptTokens, parts, req.PromptTokens/parts, req.MaxOutputTokens, helper)
 	after := s.schedule.Forecast(task)
 	c.prefillEnd = after.PrefillEnds[len(after.PrefillEnds)-1]
 	c.firstEvent = c.prefillEnd + s.firstEventDelay(after)
--- a/internal/board/predict.go
+++ b/internal/board/predict.go
@@ -49,7 +49,7 @@
 		sequences++
 		context += a.task.PromptTokens
 	}
-	return s.schedule.Engine.Passes(req.output()) * s.schedule.Engine.DecodePassTime(sequences, context)
+	return s.schedule.Engine.Passes(req.MaxOutputTokens) * s.schedule.Engine.DecodePassTime(sequences, context)
 }
 
 // otherLosses returns, by request, the value that the other requests on the engine lose if a candidate is added: the
--- a/internal/board/request.go
+++ b/internal/board/request.go
@@ -32,8 +32,6 @@
 	Deadline        clock.Millis    // point in time
 	Exclude         map[string]bool // ids of targets to avoid
 	Begun           bool            // the caller has a part of the answer, so that it can't be refused any more, only cut
-
-	expectedOutput int // tokens that the answer is likely to have; zero if that is not known
 }
 
 // value returns the weight of a request against others, in prompt tokens.
@@ -41,14 +39,6 @@
 	return float64(r.PromptTokens + outputWeight*r.MaxOutputTokens)
 }
 
-// output returns how many tokens the answer is likely to have.
-func (r Requirements) output() int {
-	if r.expectedOutput == 0 {
-		return r.MaxOutputTokens
-	}
-	return r.expectedOutput
-}
-
 // exceeds reports whether a number of idle engines together lack the memory for the prompt and the answer.
 func (r Requirements) exceeds(engine model.Engine, engines int) bool {
 	capacity := engine.Memory * min(engines, maxParts)
--- a/internal/board/scarce.go
+++ b/internal/board/scarce.go
@@ -21,7 +21,7 @@
 // slotPrice returns the value of a slot for a millisecond to requests that are still to come, in tokens: nothing while slots are free,
 // and a share of what the present requests get from their slots when all are in use. Then a request that would be late anyway
 // leaves its slot to one that is not.
-func (b *Board) slotPrice(service string, targets []*targetState) float64 {
+func slotPrice(targets []*targetState) float64 {
 	scarce := scarcity(targets)
 	if scarce == 0 {
 		return 0
@@ -35,7 +35,7 @@
 			}
 			r := a.request
 			value += r.value()
-			held += slotTime(s.schedule.Engine, r.PromptTokens/(1+len(r.Helpers)), b.expectedOutput(service, r.MaxOutputTokens), sequences, context)
+			held += slotTime(s.schedule.Engine, r.PromptTokens/(1+len(r.Helpers)), r.MaxOutputTokens, sequences, context)
 		}
 	}
 	if held == 0 {
@@ -49,10 +49,17 @@
 	return e.PrefillTime(prompt) + e.Passes(output)*e.DecodePassTime(sequences, context)
 }
 
-// capacityCost returns the value that requests which are still to come lose by the engine time and the slot that a request takes, in
-// tokens.
-func (b *Board) capacityCost(req Requirements, engine model.Engine, targets []*targetState, chosen choice) float64 {
+// admit returns the error for a request that would cost others more than it is worth: those that it delays, and those that are still
+// to come, by the engine time and the slot that it takes.
+func admit(req Requirements, engine model.Engine, targets []*targetState, chosen choice) error {
+	cost := chosen.cost + timePrice(targets)*engine.PrefillTime(req.PromptTokens)
+	if cost > req.value() {
+		return &Error{Op: "place", Kind: Costly}
+	}
 	sequences, context := chosen.primary.schedule.DecodingLoad()
-	slot := slotTime(engine, req.PromptTokens/(1+len(chosen.helpers)), req.output(), sequences, context)
-	return timePrice(targets)*engine.PrefillTime(req.PromptTokens) + b.slotPrice(req.Service, targets)*slot
+	slot := slotTime(engine, req.PromptTokens/(1+len(chosen.helpers)), req.MaxOutputTokens, sequences, context)
+	if cost+slotPrice(targets)*slot > req.value() {
+		return &Error{Op: "place", Kind: Scarce}
+	}
+	return nil
 }
--- a/internal/board/tracking.go
+++ b/internal/board/tracking.go
@@ -18,7 +18,7 @@
 		if i == 0 {
 			tokens = r.PromptTokens - (parts-1)*tokens
 		}
-		task := s.schedule.Engine.NewTask(r.PromptTokens, parts, tokens, b.expectedOutput(s.Service, r.MaxOutputTokens), i > 0)
+		task := s.schedule.Engine.NewTask(r.PromptTokens, parts, tokens, r.MaxOutputTokens, i > 0)
 		task.PrefillLeft = max(0, task.PrefillLeft-float64(r.Age))
 		if r.FirstEventSeen {
 			task.PrefillLeft = 0
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -242,6 +242,8 @@
 		return TooLarge
 	case board.Costly:
 		return Costly
+	case board.Scarce:
+		return Scarce
 	case board.Limited:
 		return Limited
 	case board.Quiet:
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -52,9 +52,6 @@
 		return s.handleFailure(a, errReplaced)
 	}
 	s.recordAnswering()
-	if s.eventsBefore == 0 && !s.Request.HasEvent {
-		a.placement.RecordEvents(s.eventsForwarded)
-	}
 	a.placement.End(board.Succeeded)
 	return "answered", noFollowUp
 }
