--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -218,8 +218,10 @@
 			return nil, &Error{Op: "place", Kind: TooLarge}
 		}
 		chosen = chooseEngines(now, req, targets, b.randomness(now, len(targets)))
-		if chosen.primary != nil && !req.Begun && chosen.cost-chosen.startCost+timePrice(targets)*engine.PrefillTime(req.PromptTokens) > req.value() {
-			return nil, &Error{Op: "place", Kind: Costly}
+		if chosen.primary != nil && !req.Begun {
+			if err := admit(req, engine, targets, chosen); err != nil {
+				return nil, err
+			}
 		}
 	} else {
 		chosen = choosePlain(now, b.Zone, targets)
--- /dev/null
+++ b/internal/board/scarce.go
@@ -0,0 +1,65 @@
+package board
+
+import "github.com/corianderpier/corianderpier/internal/model"
+
+const (
+	scarceSlots  = 0.95 // share of all slots in use from which they are scarce
+	maxSlotPrice = 0.5  // price of a slot when all are in use, as a share of the value that requests get from their slots
+)
+
+// scarcity returns how scarce slots are: 0 while enough of them are free, and 1 when all are in use.
+func scarcity(targets []*targetState) float64 {
+	running, slots := 0, 0
+	for _, s := range targets {
+		running += s.runningCount()
+		slots += s.schedule.Engine.Slots
+	}
+	used := float64(running) / float64(max(slots, 1))
+	return min(1, max(0, used-scarceSlots)/(1-scarceSlots))
+}
+
+// slotPrice returns the value of a slot for a millisecond to requests that are still to come, in tokens: nothing while slots are free,
+// and a share of what the present requests get from their slots when all are in use. Then a request that would be late anyway
+// leaves its slot to one that is not.
+func slotPrice(targets []*targetState) float64 {
+	scarce := scarcity(targets)
+	if scarce == 0 {
+		return 0
+	}
+	value, held := 0.0, 0.0
+	for _, s := range targets {
+		sequences, context := s.schedule.DecodingLoad()
+		for _, a := range s.assignments {
+			if a.isHelper() {
+				continue
+			}
+			r := a.request
+			value += r.value()
+			held += slotTime(s.schedule.Engine, r.PromptTokens/(1+len(r.Helpers)), r.MaxOutputTokens, sequences, context)
+		}
+	}
+	if held == 0 {
+		return 0
+	}
+	return maxSlotPrice * scarce * value / held
+}
+
+// slotTime returns for how long a request holds a slot of an engine that decodes some sequences, in milliseconds.
+func slotTime(e model.Engine, prompt, output, sequences, context int) float64 {
+	return e.PrefillTime(prompt) + e.Passes(output)*e.DecodePassTime(sequences, context)
+}
+
+// admit returns the error for a request that would cost others more than it is worth: those that it delays, and those that are still
+// to come, by the engine time and the slot that it takes.
+func admit(req Requirements, engine model.Engine, targets []*targetState, chosen choice) error {
+	cost := chosen.cost - chosen.startCost + timePrice(targets)*engine.PrefillTime(req.PromptTokens)
+	if cost > req.value() {
+		return &Error{Op: "place", Kind: Costly}
+	}
+	sequences, context := chosen.primary.schedule.DecodingLoad()
+	slot := slotTime(engine, req.PromptTokens/(1+len(chosen.helpers)), req.MaxOutputTokens, sequences, context)
+	if cost+slotPrice(targets)*slot > req.value() {
+		return &Error{Op: "place", Kind: Scarce}
+	}
+	return nil
+}
