board, blame: Tell those who wait of room

Suspected tells whether a request is quarantined without letting it through on trial, for requests that wait.

--- a/internal/blame/trial.go
+++ b/internal/blame/trial.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
@@ -34,6 +35,14 @@
 	return max(t.untilTrial(ids), 0) + rand.N(returnSpread), true
 }
 
+// Suspected reports whether a request or a part of its prompt is quarantined. Unlike Quarantined, it lets nothing through on trial and
+// does not wait.
+func (t *Tracker) Suspected(ids []string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(ids, func(id string) bool { return t.suspects[id] != nil && t.suspects[id].quarantined })
+}
+
 // untilTrial returns the time until a request may be let through, zero if it may now.
 func (t *Tracker) untilTrial(ids []string) clock.Millis {
 	t.mu.Lock()
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -39,6 +39,9 @@
 	// Unlinked reports whether this instance has lost its links to all targets, so that a target which it does not reach may be
 	// sound. Nil if it never does.
 	Unlinked func() bool
+	// OnRoom is called on the control loop when a request, or its part, has left a target of a service. It must neither block nor call
+	// the board. Nil if nobody waits for that.
+	OnRoom func(service string)
 
 	targets          map[string]*targetState      // by id
 	departed         map[string]departure         // targets that have left lately, by id
--- a/internal/board/tracking.go
+++ b/internal/board/tracking.go
@@ -58,10 +58,18 @@
 		}
 		if s.isHelperOf(k) && !s.keepsMemoryOf(k) {
 			s.remove(k)
+			b.signalRoom(s.Service)
 		}
 	}
 }
 
+// signalRoom tells those who wait that a request has left a target of a service.
+func (b *Board) signalRoom(service string) {
+	if b.OnRoom != nil {
+		b.OnRoom(service)
+	}
+}
+
 // isHelperOf reports whether the target prefills a part of a request for another one.
 func (s *targetState) isHelperOf(k requestKey) bool {
 	return slices.ContainsFunc(s.assignments, func(a *assignment) bool { return a.requestKey == k && a.isHelper() })
@@ -79,16 +87,21 @@
 		return
 	}
 	delete(b.requests, k)
+	service := ""
 	for _, id := range r.targets {
 		s := b.targets[id]
 		if s == nil {
 			continue
 		}
 		s.remove(k)
+		service = s.Service
 		if s.delisted && len(s.assignments) == 0 {
 			delete(b.targets, id)
 		}
 	}
+	if service != "" {
+		b.signalRoom(service)
+	}
 }
 
 // refresh records that a request was broadcast again. It reports whether the request is known.
