relay: Let requests wait for room

A request for which Place fails as costly, full or limited waits in the room of the relay, where the queue gives it turns, in place of being refused. Without a Room, or without entries in its limits, nothing changes. Request gets the field Priority.

A line is also tried by time within half of the longest wait: rate limits and prefill that goes on give no signal.

--- a/internal/queue/line.go
+++ b/internal/queue/line.go
@@ -52,7 +52,7 @@
 	l.earliest = now + max(first.interval(), wait)
 	l.latest = l.earliest
 	if wait == 0 {
-		l.latest = now + max(first.interval(), idleInterval)
+		l.latest = now + max(first.interval(), min(idleInterval, first.Longest/2)) // so that each entry comes to a try of its line
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -54,6 +54,8 @@
 	// QuietTime returns for how long all targets of a service want no requests; zero if one takes some now. Nil if none asks for
 	// that.
 	QuietTime func(service string) clock.Millis
+	// Room lets requests wait that cannot be placed now. Nil if none waits.
+	Room *Room
 }
 
 // errStopped is why the context of a request ends when the instance stops.
@@ -66,6 +68,7 @@
 	print               string          // its id for package blame, by its fingerprint
 	blamed              []string        // all ids of it for package blame
 	ctx                 context.Context // of the whole request
+	caller              context.Context // ends when the caller disconnects
 	relay               *Relay
 	w                   http.ResponseWriter
 	exclude             map[string]bool // ids of targets to avoid, see board.Requirements.Exclude
@@ -84,11 +87,14 @@
 	timeToFirstEvent    clock.Millis // since the request arrived
 	helpers             []string     // ids of targets that prefill a part of the prompt
 	longestGap          clock.Millis // between two events
+	longestWait         clock.Millis // for room, see Room; zero before the first
+	waited              clock.Millis // for room
 }
 
 // Serve forwards a request and writes the answer, or a refusal, to the caller. It panics with http.ErrAbortHandler if an
 // answer cannot be completed.
 func (rl *Relay) Serve(ctx context.Context, w http.ResponseWriter, r Request) {
+	caller := ctx
 	if r.Kind == AtMostOnce {
 		ctx = context.WithoutCancel(ctx) // it may have an effect, so it is not cancelled when its caller disconnects
 	}
@@ -99,7 +105,7 @@
 	if rl.OnStop != nil {
 		defer rl.OnStop(func() { stop(errStopped) })()
 	}
-	s := &requestState{Request: r, ctx: ctx, relay: rl, w: w, exclude: make(map[string]bool)}
+	s := &requestState{Request: r, ctx: ctx, caller: caller, relay: rl, w: w, exclude: make(map[string]bool)}
 	s.lastEventID, s.hasEvent = r.LastEventID, r.HasEvent || r.LastEventID > 0
 	s.print = blame.Request(r.fingerprint())
 	s.blamed = append([]string{s.print}, r.SharedParts...)
@@ -129,7 +135,7 @@
 		"sent", s.attemptsSent, "unreachable", s.unreachableTargets, "prompt", s.PromptTokens, "parts", s.SharedParts, "print", s.print,
 		"predicted_ms", int64(s.predictedFirstEvent), "first_ms", int64(s.timeToFirstEvent), "aim_ms", int64(s.FirstEventSLO),
 		"events", s.eventsForwarded, "pause_ms", int64(s.longestGap), "pause_aim_ms", int64(s.EventGapSLO),
-		"left_ms", int64(s.Deadline-clock.Now()), "took_ms", int64(took))
+		"waited_ms", int64(s.waited), "left_ms", int64(s.Deadline-clock.Now()), "took_ms", int64(took))
 }
 
 // serve tries targets until the request is answered or refused, and returns the outcome.
@@ -141,9 +147,12 @@
 		if wait, quarantined := s.relay.Blame.Quarantined(s.blamed); quarantined {
 			return s.refuseFor(Quarantined, wait)
 		}
-		p, err := s.relay.Place(s.placementRequirements(s.progress, s.exclude))
-		if err != nil {
-			return s.refuseUnplaced(err)
+		p, ended := s.place(ctx)
+		if ended != "" {
+			return ended
+		}
+		if p == nil {
+			continue
 		}
 		outcome, tryNext := s.tryTarget(ctx, p)
 		if outcome != "" {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -31,6 +31,7 @@
 	HasEvent         bool   // the caller has an event with an id, whatever that is
 	Service          string // name of the service that runs the request
 	Customer         string
+	Priority         int         // of the customer, or else of the route; 0 is highest
 	ConfigVersion    uint64      // version of the configuration that the route comes from
 	Header           http.Header // end-to-end headers
 	Method           string
