--- a/internal/queue/entry.go
+++ b/internal/queue/entry.go
@@ -7,10 +7,11 @@
 	"github.com/corianderpier/corianderpier/internal/clock"
 )
 
-const (
-	leftShare     = 3 // the longest wait is at most this part of the time left, as callers honour Retry-After up to the same part
-	levelsPerWait = 2 // priorities by which an entry rises within its longest wait
-)
+// LeftParts is the number of equal parts of the time left before its deadline of which a request may wait one. Callers honour Retry-After
+// up to the same part.
+const LeftParts = 3
+
+const levelsPerWait = 2 // priorities by which an entry rises within its longest wait
 
 // Limits bound the queue.
 type Limits struct {
@@ -20,7 +21,7 @@
 
 // LongestWait returns for how long a request with an objective and some time left before its deadline may wait.
 func (l Limits) LongestWait(objective, left clock.Millis) clock.Millis {
-	return max(0, min(clock.Millis(l.Share*float64(objective)), left/leftShare))
+	return max(0, min(clock.Millis(l.Share*float64(objective)), left/LeftParts))
 }
 
 // Need says what a request needs room for.
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -9,9 +9,6 @@
 	"github.com/corianderpier/corianderpier/internal/queue"
 )
 
-// patience is the part of the time left up to which callers honour Retry-After.
-const patience = 3
-
 // place selects the targets of the next attempt. If there is no room now, the request may wait for it. Without a placement it returns the
 // outcome of the request, or an empty one if what must hold before an attempt is to be checked again.
 func (s *requestState) place(ctx context.Context) (p *board.Placement, outcome string) {
@@ -166,5 +163,5 @@
 
 // spread returns a time after which the caller may try again, not before the given one.
 func (s *requestState) spread(retryAfter clock.Millis) clock.Millis {
-	return s.relay.Room.retryAfter(s.need(), retryAfter, (s.deadline()-clock.Now())/patience)
+	return s.relay.Room.retryAfter(s.need(), retryAfter, (s.deadline()-clock.Now())/queue.LeftParts)
 }
