relay: Name the result of a wait that a fault ends after a failed turn

The result of a wait was empty in the counter and the log line if the program failed after a turn without room.

--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -84,8 +84,10 @@
 // wait waits for the turns of the request until it ends its wait. The error is that of a placement that failed for want of something other
 // than room.
 func (s *requestState) wait(ctx context.Context, w *waiter) (p *board.Placement, result waitResult, err error) {
-	result = waitFailed
 	defer func() {
+		if result == "" {
+			result = waitFailed // a fault ends it
+		}
 		w.leave(result)
 		took := clock.Now() - w.since
 		s.waited += took
