--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -46,6 +46,9 @@
 	// Cell returns the names of the active instances of the cell, and whether this instance has joined the others. Nil if there are
 	// no others.
 	Cell func() (members []string, joined bool)
+	// OnRoom is called on the control loop when a request, or its part, has left a target of a service. It must neither block nor call
+	// the board. Nil if nobody waits for that.
+	OnRoom func(service string)
 
 	targets          map[string]*targetState      // by id
 	departed         map[string]departure         // targets that have left lately, by id
