serve: Charge connections and heads, and bound connections and unread answers

A head was read to 256 KB before it was refused, and an answer that its caller never read kept its connection for ever. Heads are now charged line by line as they are read, cut off soon after the limit of the configuration (431), and refused (503) when the account is full.

--- a/internal/serve/timeout.go
+++ b/internal/serve/timeout.go
@@ -1,7 +1,9 @@
 package serve
 
 import (
+	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -9,6 +11,7 @@
 	"time"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/quota"
 )
 
 // Timeouts bound how long a client may take. A change applies to each connection from its next request on.
@@ -19,6 +22,11 @@
 
 // WithTimeouts lets the timeouts of a server change while it runs. It returns the listener that the server must use.
 func WithTimeouts(l net.Listener, server *http.Server, timeouts func() Timeouts) net.Listener {
+	return WithLimits(l, server, timeouts, Limits{})
+}
+
+// WithLimits is WithTimeouts for a server with limits on what its clients use. Its handler must be set before.
+func WithLimits(l net.Listener, server *http.Server, timeouts func() Timeouts, limits Limits) net.Listener {
 	// The server sets read deadlines only if it has timeouts of its own; timeoutConn replaces the deadlines.
 	initial := timeouts()
 	server.ReadHeaderTimeout, server.IdleTimeout = initial.Header.Duration(), initial.Idle.Duration()
@@ -27,23 +35,36 @@
 			conn.setState(s)
 		}
 	}
-	return &timeoutListener{Listener: l, timeouts: timeouts}
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if conn, ok := c.(*timeoutConn); ok {
+			return quota.WithHolder(ctx, conn.holder)
+		}
+		return ctx
+	}
+	server.Handler = limits.charge(server.Handler, timeouts)
+	return &timeoutListener{Listener: l, timeouts: timeouts, limits: limits}
 }
 
 type timeoutListener struct {
 	net.Listener
 	timeouts func() Timeouts
+	limits   Limits
 }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection for which there is room.
 func (l *timeoutListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		conn := &timeoutConn{Conn: c, timeouts: l.timeouts, limits: l.limits}
+		conn.reset(false)
+		if conn.admit() {
+			return conn, nil
+		}
+		_ = c.Close()
 	}
-	conn := &timeoutConn{Conn: c, timeouts: l.timeouts}
-	conn.reset(false)
-	return conn, nil
 }
 
 // What a connection reads next.
@@ -58,6 +79,8 @@
 type timeoutConn struct {
 	net.Conn
 	timeouts func() Timeouts
+	limits   Limits
+	holder   *quota.Holder
 	awaiting atomic.Int32
 	unhandled
 }
@@ -70,6 +93,7 @@
 	case http.StateIdle:
 		c.awaiting.Store(requestNext)
 		c.reset(true)
+		c.holder.Reset()
 	}
 }
 
@@ -79,8 +103,14 @@
 	for errors.Is(err, os.ErrDeadlineExceeded) && c.extend() {
 		n, err = c.Conn.Read(data)
 	}
+	if n > 0 {
+		c.holder.Progress()
+	}
 	if c.awaiting.Load() != bodyNext {
 		c.record(n, err)
+		if !c.takeHead(data[:n]) {
+			return 0, io.EOF
+		}
 	}
 	return n, err
 }
@@ -101,6 +131,7 @@
 	if c.awaiting.Load() != bodyNext {
 		c.report(c.RemoteAddr())
 	}
+	c.leave()
 	return c.Conn.Close()
 }
 
--- a/internal/serve/unhandled.go
+++ b/internal/serve/unhandled.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/quota"
 )
 
 // unhandled keeps what a connection has read of a request that no handler has seen yet.
@@ -21,6 +22,7 @@
 	readAt  clock.Millis // when the last bytes were read
 	lastErr error        // of the last read
 	closed  bool
+	evicted quota.Reason // why the connection was closed for others; empty if it was not
 
 	answered bool // a request was answered on the connection
 }
@@ -39,6 +41,20 @@
 	return u.since, u.answered && u.bytes == 0
 }
 
+// recordEviction records that the connection is closed for others.
+func (u *unhandled) recordEviction(reason quota.Reason) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.evicted = reason
+}
+
+// headBytes returns how many bytes of a request have come that no handler has seen yet.
+func (u *unhandled) headBytes() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.bytes
+}
+
 // record records the result of a read.
 func (u *unhandled) record(n int, err error) {
 	u.mu.Lock()
@@ -69,9 +85,11 @@
 	}
 }
 
-// reason returns who ended the connection: the caller, a timeout, or this instance.
+// reason returns who ended the connection: the caller, a timeout, this instance, or this instance for others.
 func (u *unhandled) reason() string {
 	switch {
+	case u.evicted != "":
+		return string(u.evicted)
 	case errors.Is(u.lastErr, os.ErrDeadlineExceeded):
 		return "timeout"
 	case errors.Is(u.lastErr, io.EOF):
