--- a/internal/detour/carrier.go
+++ b/internal/detour/carrier.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/quota"
 )
 
 // CallKind is the kind of the connections between instances that are carried to targets.
@@ -20,6 +21,7 @@
 	carrierTimeout = 150 * clock.Millis(1) // of a carrier's dial
 	connsPerCore   = 640.0                 // that an instance carries at once, by its processing power
 	minCarried     = 16                    // that any instance carries at once
+	carriedBytes   = 32 << 10              // of memory for one: two buffers, and the goroutines of both directions
 
 	idlePollInterval = 10 * clock.Millis(1) // while it waits until none is carried
 	deliveryTime     = 50 * clock.Millis(1) // for the last bytes of a carried connection to reach the other instance
@@ -42,7 +44,7 @@
 	Joined     Result = "joined"
 	NotReached Result = "not_reached" // its own link to the target fails as well, or the target is gone
 	NotAllowed Result = "not_allowed" // it does not know the target, or the target takes no requests
-	Busy       Result = "busy"        // it carries as many connections as it may
+	Busy       Result = "busy"        // it carries as many connections as it may, or has no memory for another
 	Cut        Result = "cut"         // it has lost its links to targets itself, or it stops
 )
 
@@ -57,6 +59,7 @@
 	Allowed  func(t Target) bool // whether this instance knows the target, and would send it a request of its own
 	Closed   func() bool         // whether this instance takes no further connections
 	Capacity float64             // of this instance, in cores; zero if unknown
+	Account  *quota.Account      // for the memory of the connections; nil for none
 
 	active  atomic.Int64
 	mu      sync.Mutex
@@ -109,15 +112,24 @@
 		c.active.Add(-1)
 		return nil, Busy
 	}
+	holder := c.Account.Open(func(quota.Reason) {})
+	holder.SetWaiting(false) // for a target and the other instance, not for a caller of this one
+	if err := holder.Reserve(carriedBytes); err != nil {
+		c.active.Add(-1)
+		holder.Close()
+		return nil, Busy
+	}
 	ctx, cancel := context.WithTimeout(ctx, carrierTimeout.Duration())
 	defer cancel()
 	conn, err := c.Direct(ctx, t)
 	if err != nil {
 		c.active.Add(-1)
+		holder.Close()
 		return nil, NotReached
 	}
 	c.count(t, 1)
 	return &carriedConn{Conn: conn, onClose: func() {
+		holder.Close()
 		c.count(t, -1)
 		c.active.Add(-1)
 	}}, Joined
--- a/internal/detour/connect.go
+++ b/internal/detour/connect.go
@@ -8,6 +8,7 @@
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/member"
 	"github.com/corianderpier/corianderpier/internal/peer"
+	"github.com/corianderpier/corianderpier/internal/quota"
 )
 
 // callLost is the kind of the call by which a carrier tells that its link to a target is lost.
@@ -25,6 +26,7 @@
 	Self     string // name of this instance
 	Zone     string // its availability zone
 	Capacity float64
+	Account  *quota.Account // for the memory of connections that are carried; nil for none
 	Node     *peer.Node
 	Group    *member.Group
 	// Dial opens a direct connection to a target. Nil for the network's way.
@@ -55,7 +57,7 @@
 		}
 	}
 	c := &Carrier{
-		Direct: d.DialDirect, Allowed: s.Allowed, Capacity: s.Capacity,
+		Direct: d.DialDirect, Allowed: s.Allowed, Capacity: s.Capacity, Account: s.Account,
 		Closed: func() bool { return s.Draining() || d.Unlinked() },
 	}
 	d.OnCut = func(addr string) {
