peer: Bound handshakes that are not complete

4,000 handshakes that were begun and not completed took 170 MB. Each is charged to the account until it is complete; together they may use an eighth of it. From 16 at once on, the other end's address is validated first (Retry), which keeps no state. Handshakes without a packet end after 1 s, which is as long as any dial waits. Without an account nothing is limited.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,11 +15,13 @@
 
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/limit"
+	"github.com/corianderpier/corianderpier/internal/quota"
 )
 
 const (
 	maxPacketBytes    = 1400 // of a datagram
 	quicIdleTimeout   = 3 * time.Second
+	handshakeTimeout  = time.Second // without a packet; a handshake as a whole may take twice that
 	keepAliveInterval = time.Second
 	dialTimeout       = time.Second
 	maxStreams        = 4096
@@ -38,6 +41,7 @@
 	Addr       string                                // UDP address to listen on
 	ClusterKey []byte                                // secret that all instances of the cluster share
 	OnPacket   func(from net.Addr, plaintext []byte) // called with each authentic datagram; nil to ignore them
+	Account    *quota.Account                        // for the memory of handshakes that are not complete; nil for none
 
 	handlers      map[string]Handler
 	connHandlers  map[string]ConnHandler
@@ -49,6 +53,7 @@
 	sentBytes     *metrics.Counter
 	receivedBytes *metrics.Counter
 	unread        limit.Budget // for messages that are being read
+	handshakes    atomic.Int64 // incoming ones that are not complete
 
 	mu     sync.Mutex
 	conns  map[connKey]*peerConn
@@ -111,6 +116,7 @@
 		return &Error{Op: "listen", Kind: Setup, Err: err}
 	}
 	n.transport = &quic.Transport{Conn: n.conn}
+	n.limitHandshakes()
 	n.queuePackets()
 	if n.listener, err = n.transport.Listen(n.tls, quicConfig()); err != nil {
 		return &Error{Op: "listen", Kind: Setup, Err: err}
@@ -147,6 +153,7 @@
 		if err != nil {
 			return nil
 		}
+		endHandshake(conn)
 		serving.Go(func() { n.serveConn(ctx, conn) })
 	}
 }
@@ -364,9 +371,10 @@
 
 func quicConfig() *quic.Config {
 	return &quic.Config{
-		MaxIdleTimeout:     quicIdleTimeout,
-		KeepAlivePeriod:    keepAliveInterval,
-		MaxIncomingStreams: maxStreams,
+		HandshakeIdleTimeout: handshakeTimeout, // no dial waits longer
+		MaxIdleTimeout:       quicIdleTimeout,
+		KeepAlivePeriod:      keepAliveInterval,
+		MaxIncomingStreams:   maxStreams,
 
 		EnableStreamResetPartialDelivery: true, // for carried connections that break
 
