quota: Close no connection whose caller takes its answer

A write counted as waiting for the caller at once, and a request that had just been answered did too, so that an ordinary answer could be cut for another connection when the account was full. A write counts only after 100 ms without progress, and an answered connection when the server has told that nothing follows (CloseWrite), or when it is idle. TestUnreadAnswerClosed.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -87,14 +87,14 @@
 	return a.used+n <= most && a.used+a.leaving+n <= a.Max+a.Max/leavingPart
 }
 
-// largest returns the holder with the largest product of bytes and time without progress, among those that wait for their callers and hold
-// more than the asker; call it with the lock held.
+// largest returns the holder with the largest product of bytes and time without progress, among those that may be closed and hold more
+// than the asker; call it with the lock held.
 func (a *Account) largest(asker *Holder) *Holder {
 	now := a.Now()
 	var found *Holder
 	var most int64
 	for h := range a.holders {
-		if !h.waiting || h == asker || h.held <= asker.held {
+		if h == asker || h.held <= asker.held || !h.closable(now) {
 			continue
 		}
 		if product := h.held * max(1, int64(now-h.progressAt)); product > most {
--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -48,9 +48,10 @@
 func (g *Gate) evictLongest(a *Account) *Holder {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := a.Now()
 	var found *Holder
 	for h := range g.open {
-		if h.waiting && !h.evicted && (found == nil || h.progressAt < found.progressAt) {
+		if h.closable(now) && (found == nil || h.progressAt < found.progressAt) {
 			found = h
 		}
 	}
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -6,6 +6,8 @@
 	"github.com/corianderpier/corianderpier/internal/clock"
 )
 
+const unreadTime = 100 * clock.Millis(1) // without progress after which a write counts as one that the caller does not read
+
 // Reason says what a holder was closed for.
 type Reason string
 
@@ -24,7 +26,8 @@
 	held       int64
 	kept       int64        // of these, what Reset leaves
 	progressAt clock.Millis // when the last byte was read or written
-	waiting    bool         // for its caller, who owes bytes or has to read some
+	waiting    bool         // for its caller, who owes a head or a body
+	writing    bool         // what the caller has to read
 	evicted    bool
 	ended      bool
 }
@@ -94,15 +97,30 @@
 	h.progressAt = h.account.Now()
 }
 
-// SetWaiting says whether the caller has to act next, which counts as progress. It returns what was said before.
-func (h *Holder) SetWaiting(waiting bool) (before bool) {
+// SetWaiting says whether the caller has to act next, which counts as progress.
+func (h *Holder) SetWaiting(waiting bool) {
 	if h == nil {
-		return false
+		return
 	}
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
-	before, h.waiting, h.progressAt = h.waiting, waiting, h.account.Now()
-	return before
+	h.waiting, h.progressAt = waiting, h.account.Now()
+}
+
+// SetWriting says whether bytes are being written that the caller has to read, which counts as progress.
+func (h *Holder) SetWriting(writing bool) {
+	if h == nil {
+		return
+	}
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.writing, h.progressAt = writing, h.account.Now()
+}
+
+// closable reports whether the holder may be closed for others: its caller has to act, and for a write has not done so for a while. Call
+// it with the lock held.
+func (h *Holder) closable(now clock.Millis) bool {
+	return !h.evicted && (h.waiting || h.writing && now-h.progressAt >= unreadTime)
 }
 
 // Close ends the holder and gives back all its bytes. It may be called again.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -106,6 +106,26 @@
 	is.True(a.Used() <= 16*unit)
 }
 
+// Guards against: an answer that its caller takes is cut for others, or one that nobody reads is not.
+func TestUnreadAnswerClosed(t *testing.T) {
+	const unit = 1 << 20
+	is := is.New(t)
+	a := newTestAccount(16 * unit)
+	h := a.open(t, "answer", 11*unit)
+	h.SetWaiting(false)
+	a.now = 1000
+	h.SetWriting(true)
+	asker := a.Open(nil)
+	is.True(Is(asker.Reserve(2 * unit)))
+	a.now += unreadTime - 1
+	h.Progress()
+	a.now += unreadTime - 1
+	is.True(Is(asker.Reserve(2 * unit)))
+	a.now++
+	is.NoErr(asker.Reserve(2 * unit))
+	is.Equal(a.evicted, []string{"answer"})
+}
+
 // Guards against: an account without a limit refuses, or code without an account fails.
 func TestNoLimit(t *testing.T) {
 	is := is.New(t)
@@ -120,6 +140,7 @@
 	nobody.Reset()
 	nobody.Release(1)
 	nobody.SetWaiting(true)
+	nobody.SetWriting(true)
 	nobody.Close()
 	is.Equal(HolderOf(t.Context()), nobody)
 }
--- a/internal/serve/limits.go
+++ b/internal/serve/limits.go
@@ -46,7 +46,6 @@
 func (l Limits) charge(next http.Handler, timeouts func() Timeouts) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		h := quota.HolderOf(r.Context())
-		defer h.SetWaiting(true)
 		if r.ContentLength == 0 {
 			h.SetWaiting(false)
 		} else {
@@ -149,17 +148,15 @@
 	if err != nil {
 		return
 	}
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		_ = half.CloseWrite()
-	}
+	_ = c.CloseWrite()
 	_ = c.Conn.SetReadDeadline(time.Now().Add(refusalLinger))
 	_, _ = io.Copy(io.Discard, struct{ io.Reader }{c.Conn})
 }
 
 // Write writes to the connection. It fails if the other end takes no byte for the time that a connection may be idle.
 func (c *timeoutConn) Write(data []byte) (written int, err error) {
-	before := c.holder.SetWaiting(true)
-	defer func() { c.holder.SetWaiting(before) }()
+	c.holder.SetWriting(true)
+	defer c.holder.SetWriting(false)
 	for {
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.timeouts().Idle.Duration())); err != nil {
 			return written, err
@@ -182,6 +179,17 @@
 	}
 }
 
+// CloseWrite tells the other end that nothing follows. The server does so when it is to read on for a while before it closes the
+// connection.
+func (c *timeoutConn) CloseWrite() error {
+	c.holder.SetWaiting(true)
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return half.CloseWrite()
+}
+
 func countRefusal(reason string) {
 	metrics.GetOrCreateCounter(`pier_quota_refused_total{reason="` + reason + `"}`).Inc()
 }
