platform: Keep callers within the memory and the descriptors of the machine

Hostile callers ended a process: heads were read to 256 KB, bodies whole, and neither was counted. The settings `memory` and `files` (left out: no limit) give each instance an account for what callers use, a limit for the garbage collector and a bound on the connections of each port. Heads are cut off after the configured limit; bodies are charged as their buffer doubles, and a Content-Length reserves nothing. Bodies over the limit get 413 and those that do not come 408, both 400 before; a full account gives 503 with Retry-After.

--- a/cmd/corianderpier/platform.go
+++ b/cmd/corianderpier/platform.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -49,6 +50,9 @@
 	if settings.HasExampleKey() {
 		slog.Warn("example cluster key in use, which everybody can read; make one by pierctl key", "setting", "key", "path", path)
 	}
+	if limit := settings.MemoryLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	instance := &platform.Instance{Settings: settings}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT)
 	defer stop()
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -99,23 +99,26 @@
 
 // The reasons for a refusal; the values go to callers, logs and metrics.
 const (
-	NotReady     Reason = "not_ready"     // the instance has no configuration
-	NoRoute      Reason = "no_route"      // the configuration has no such route
-	UnknownKey   Reason = "no_key"        // no customer has the caller's key
-	NoTarget     Reason = "no_target"     // the service has no target
-	TooLarge     Reason = "too_large"     // no engine can hold the prompt
-	Costly       Reason = "costly"        // the engines are busy, and the prompt would make other requests miss their objectives
-	Full         Reason = "full"          // no engine has enough free memory, or the request cannot be placed for another reason
-	Limited      Reason = "limited"       // all targets have reached the rate limits that they name
-	Quiet        Reason = "quiet"         // all targets want no requests for a while
-	Refused      Reason = "refused"       // none of the targets that were tried ran the request
-	Expired      Reason = "expired"       // the deadline passed, or was too near, before the request could have run
-	TimedOut     Reason = "timed_out"     // the deadline passed, or was too near for a retry, after a target may have run the request
-	TargetFailed Reason = "target_failed" // a target may have run the request, but gave no complete answer
-	Malformed    Reason = "malformed"     // the request is invalid
-	Quarantined  Reason = "quarantined"   // engines crashed under a part of the prompt, see package blame
-	Draining     Reason = "draining"      // the instance shuts down, and might not finish the request
-	Stopped      Reason = "stopped"       // the instance shut down before there was an answer
+	NotReady     Reason = "not_ready"      // the instance has no configuration
+	NoRoute      Reason = "no_route"       // the configuration has no such route
+	UnknownKey   Reason = "no_key"         // no customer has the caller's key
+	NoTarget     Reason = "no_target"      // the service has no target
+	TooLarge     Reason = "too_large"      // no engine can hold the prompt
+	Costly       Reason = "costly"         // the engines are busy, and the prompt would make other requests miss their objectives
+	Full         Reason = "full"           // no engine has enough free memory, or the request cannot be placed for another reason
+	Limited      Reason = "limited"        // all targets have reached the rate limits that they name
+	Quiet        Reason = "quiet"          // all targets want no requests for a while
+	Refused      Reason = "refused"        // none of the targets that were tried ran the request
+	Expired      Reason = "expired"        // the deadline passed, or was too near, before the request could have run
+	TimedOut     Reason = "timed_out"      // the deadline passed, or was too near for a retry, after a target may have run the request
+	TargetFailed Reason = "target_failed"  // a target may have run the request, but gave no complete answer
+	Malformed    Reason = "malformed"      // the request is invalid
+	BodyTooLarge Reason = "body_too_large" // the body is longer than the configuration allows
+	BodyLate     Reason = "body_late"      // the body did not come in time
+	NoMemory     Reason = "memory"         // the instance has no memory for the request
+	Quarantined  Reason = "quarantined"    // engines crashed under a part of the prompt, see package blame
+	Draining     Reason = "draining"       // the instance shuts down, and might not finish the request
+	Stopped      Reason = "stopped"        // the instance shut down before there was an answer
 )
 
 // Refusal is the answer to a caller that gets none from a target.
