--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/quic-go/quic-go"
+	"golang.org/x/time/rate"
 
 	"github.com/corianderpier/corianderpier/internal/quota"
 )
@@ -19,6 +22,9 @@
 
 var handshakeRefusals = metrics.NewCounter(`pier_quota_refused_total{reason="handshake"}`)
 
+// handshakeLog bounds the log lines about handshakes that are refused.
+var handshakeLog = rate.Sometimes{First: 10, Interval: time.Second}
+
 // handshake is an incoming connection whose other end has not shown yet that it has the cluster key.
 type handshake struct {
 	node   *Node
@@ -39,24 +45,29 @@
 }
 
 // beginHandshake charges a handshake, or refuses it.
-func (n *Node) beginHandshake(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
+func (n *Node) beginHandshake(ctx context.Context, info *quic.ClientInfo) (context.Context, error) {
 	h := &handshake{node: n, holder: n.Account.Open(func(quota.Reason) {})}
 	h.holder.SetWaiting(false) // there is no connection yet that could be closed for others
 	count := n.handshakes.Add(1)
 	if count*handshakeBytes > max(n.Account.Max/handshakePart, uncheckedAttempts*handshakeBytes) {
-		h.end()
-		handshakeRefusals.Inc()
+		h.refuse(info)
 		return nil, &Error{Op: "handshake", Kind: Failed}
 	}
 	if err := h.holder.Reserve(handshakeBytes); err != nil {
-		h.end()
-		handshakeRefusals.Inc()
-		return nil, err
+		h.refuse(info)
+		return nil, &Error{Op: "handshake", Kind: Failed, Err: err}
 	}
 	context.AfterFunc(ctx, h.end)
 	return context.WithValue(ctx, handshakeKey{}, h), nil
 }
 
+// refuse records that a handshake is refused.
+func (h *handshake) refuse(info *quic.ClientInfo) {
+	h.end()
+	handshakeRefusals.Inc()
+	handshakeLog.Do(func() { slog.Info("handshake of a peer refused", "from", info.RemoteAddr.String(), "pending", h.node.handshakes.Load()) })
+}
+
 // end gives back what the handshake holds, when it is complete or has failed.
 func (h *handshake) end() {
 	h.once.Do(func() {
--- a/internal/serve/limits.go
+++ b/internal/serve/limits.go
@@ -53,6 +53,7 @@
 		}
 		if err := h.Adjust(headCost(r) + l.RequestBytes); err != nil {
 			countRefusal("request")
+			limitLog.Do(func() { slog.Info("request without memory refused", "caller", r.RemoteAddr) })
 			w.Header().Set("Retry-After", retryAfter)
 			w.Header().Set("Connection", "close")
 			http.Error(w, "memory", http.StatusServiceUnavailable)
@@ -81,18 +82,24 @@
 		return true
 	}
 	if c.limits.Gate != nil && !c.limits.Gate.Enter(c.holder) {
-		countRefusal("files")
+		c.refuseConn("files")
 		c.holder.Close()
 		return false
 	}
 	if err := c.holder.Keep(connBytes); err != nil {
-		countRefusal("connection")
+		c.refuseConn("connection")
 		c.leave()
 		return false
 	}
 	return true
 }
 
+// refuseConn records that a new connection is closed at once.
+func (c *timeoutConn) refuseConn(reason string) {
+	countRefusal(reason)
+	limitLog.Do(func() { slog.Info("connection refused", "caller", c.RemoteAddr().String(), "reason", reason) })
+}
+
 // leave gives back what the connection holds.
 func (c *timeoutConn) leave() {
 	c.holder.Close()
