--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -65,7 +65,9 @@
 func (h *handshake) refuse(info *quic.ClientInfo) {
 	h.end()
 	handshakeRefusals.Inc()
-	handshakeLog.Do(func() { slog.Info("handshake of a peer refused", "from", info.RemoteAddr.String(), "pending", h.node.handshakes.Load()) })
+	handshakeLog.Do(func() {
+		slog.Info("handshake of a peer refused", "from", info.RemoteAddr.String(), "pending", h.node.handshakes.Load())
+	})
 }
 
 // end gives back what the handshake holds, when it is complete or has failed.
