board: Leave evacuated zones out

The operator can ask that nothing more is sent to the targets of an availability zone. The board keeps the zones that ReplaceEvacuated lists. Their targets take no first attempts, retries, hedges, parts of prompts, probes, reservations or connections for other instances; orders go on. A zone that a list from an older copy lacks is in doubt: it is used only if nothing else is left, and not probed. If only evacuated targets are left, the error is Evacuated.

Word that a target has left is now recorded also while its zone is evacuated.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -51,7 +51,9 @@
 	announce         bool   // set when instances have joined, which do not know the own requests yet
 	lastNumber       uint64 // number of the last own request, see firstNumber
 	remotePlacements placementRate
-	limitNamed       atomic.Bool // some target has named a rate limit
+	limitNamed       atomic.Bool            // some target has named a rate limit
+	evacuations      map[string]*evacuation // by zone
+	anyEvacuated     atomic.Bool            // some zone is evacuated, or may be
 }
 
 // packet is a datagram between instances.
@@ -72,6 +74,7 @@
 func (b *Board) Init() {
 	b.targets = make(map[string]*targetState)
 	b.departed = make(map[string]departure)
+	b.evacuations = make(map[string]*evacuation)
 	b.requests = make(map[requestKey]*knownRequest)
 	b.ownRequests = make(map[uint64]*ActiveRequest)
 	b.placedAt = make(map[uint64]clock.Millis)
@@ -104,7 +107,7 @@
 		listed := make(map[string]bool, len(targets))
 		for _, t := range targets {
 			listed[t.ID] = true
-			b.target(t.ID).update(t, b.engine(t.Service))
+			b.target(t.ID).update(t, b.engine(t.Service), b.evacuations[t.Zone])
 			b.noteListed(now, t, trust.DoubtUntil)
 		}
 		for id, s := range b.targets {
@@ -134,15 +137,15 @@
 	return e
 }
 
-// update applies an entry of the list of targets.
-func (s *targetState) update(t Target, e model.Engine) {
+// update applies an entry of the list of targets. zone is the evacuation of its zone, or nil.
+func (s *targetState) update(t Target, e model.Engine, zone *evacuation) {
 	if t.Born != s.Born || t.Addr != s.Addr {
 		s.leaving, s.quietUntil, s.doubtedUntil = false, 0, 0
 	}
 	if s.Draining && !t.Draining {
 		s.leaving = false
 	}
-	s.Target, s.schedule.Engine, s.delisted, s.missingUntil = t, e, false, 0
+	s.Target, s.schedule.Engine, s.delisted, s.missingUntil, s.evacuation = t, e, false, 0, zone
 }
 
 // target returns the state of a target, and creates it if the target is known only from other instances so far.
@@ -220,8 +223,9 @@
 
 // shortage says why targets were left out that may run a request later.
 type shortage struct {
-	limited bool         // some have reached their rate limits
-	quiet   clock.Millis // time until the first of those that want no requests for a while takes one; zero if there is none
+	limited   bool         // some have reached their rate limits
+	quiet     clock.Millis // time until the first of those that want no requests for a while takes one; zero if there is none
+	evacuated bool         // some are in zones that are evacuated, or may be
 }
 
 // err returns the error for a request that no target may run now.
@@ -231,6 +235,8 @@
 		return &Error{Op: "place", Kind: Limited}
 	case s.quiet > 0:
 		return &Error{Op: "place", Kind: Quiet, Wait: s.quiet}
+	case s.evacuated:
+		return &Error{Op: "place", Kind: Evacuated}
 	default:
 		return &Error{Op: "place", Kind: NoTarget}
 	}
@@ -244,9 +250,9 @@
 }
 
 // eligibleTargets returns the targets that may run a request. If there are none in the cell, it falls back to those of other
-// cells, then to ejected targets, and then to the targets that the request excludes.
+// cells, then to ejected targets, to the targets that the request excludes, and then to those of zones whose evacuation is in doubt.
 func (b *Board) eligibleTargets(now clock.Millis, req Requirements, inCell func(target string) bool) (eligible []*targetState, short shortage) {
-	var usable, elsewhere, ejected, excluded []*targetState
+	var usable, elsewhere, ejected, excluded, doubtful []*targetState
 	for _, s := range b.targets {
 		if s.Service != req.Service {
 			continue
@@ -254,9 +260,14 @@
 		switch {
 		case s.onlyQuiet(now):
 			short.addQuiet(s.quietUntil - now)
+		case s.onlyEvacuated(now):
+			short.evacuated = true
 		case s.closed(now):
 		case !b.mayUse(now, s):
 			short.limited = true
+		case s.evacuation.inDoubt(now):
+			short.evacuated = true
+			doubtful = append(doubtful, s)
 		case req.Exclude[s.ID]:
 			excluded = append(excluded, s)
 		case s.usable(now) && inCell(s.ID):
@@ -267,12 +278,12 @@
 			ejected = append(ejected, s)
 		}
 	}
-	for _, targets := range [][]*targetState{usable, elsewhere, ejected} {
+	for _, targets := range [][]*targetState{usable, elsewhere, ejected, excluded} {
 		if len(targets) > 0 {
 			return targets, short
 		}
 	}
-	return excluded, short
+	return notExcluded(doubtful, req), short
 }
 
 // anyCell is used in place of Board.inCell when targets of all cells are eligible.
--- a/internal/board/broadcast.go
+++ b/internal/board/broadcast.go
@@ -79,6 +79,7 @@
 		}
 	}
 	b.forgetDeparted(now)
+	b.endDoubtfulEvacuations(now)
 	for k, r := range b.requests {
 		if k.owner != b.Self && now-r.lastHeard >= instanceTimeout {
 			b.removeRequest(k)
--- a/internal/board/error.go
+++ b/internal/board/error.go
@@ -7,13 +7,14 @@
 
 // The kinds of failure.
 const (
-	NoTarget Kind = "no target" // no target of the service is known
-	TooLarge Kind = "too large" // the engines' memory cannot hold it, even if they were idle
-	Full     Kind = "full"      // no engine has enough free memory at present
-	Costly   Kind = "costly"    // its predicted cost, by its own lateness and by delay to others, exceeds its value
-	Limited  Kind = "limited"   // all targets of the service have reached the rate limits that they name
-	Quiet    Kind = "quiet"     // all targets of the service want no requests for a while
-	Stopped  Kind = "stopped"   // the instance is shutting down
+	NoTarget  Kind = "no target" // no target of the service is known
+	TooLarge  Kind = "too large" // the engines' memory cannot hold it, even if they were idle
+	Full      Kind = "full"      // no engine has enough free memory at present
+	Costly    Kind = "costly"    // its predicted cost, by its own lateness and by delay to others, exceeds its value
+	Limited   Kind = "limited"   // all targets of the service have reached the rate limits that they name
+	Quiet     Kind = "quiet"     // all targets of the service want no requests for a while
+	Evacuated Kind = "evacuated" // all targets of the service are in evacuated zones
+	Stopped   Kind = "stopped"   // the instance is shutting down
 )
 
 // Error is a failure to place a request.
--- a/internal/board/leave.go
+++ b/internal/board/leave.go
@@ -127,7 +127,7 @@
 // applyDoubt closes a target that another instance knows to have left, until its entry is believed again.
 func (b *Board) applyDoubt(now clock.Millis, d TargetDoubt) {
 	s := b.targets[d.Target]
-	if s == nil || s.Born != d.Born || s.closed(now) {
+	if s == nil || s.Born != d.Born || s.left(now) || now < s.quietUntil {
 		return
 	}
 	s.doubtedUntil = now + min(d.Left, maxDoubt)
--- a/internal/board/probe.go
+++ b/internal/board/probe.go
@@ -33,7 +33,7 @@
 	var targets []Target
 	b.Loop.Call(func() {
 		for id, s := range b.targets {
-			if !s.closed(clock.Now()) && b.engine(s.Service).PrefillRate > 0 && b.Monitors(id) && s.limit.probeDue(clock.Now()) {
+			if s.takesProbes(clock.Now()) && b.engine(s.Service).PrefillRate > 0 && b.Monitors(id) && s.limit.probeDue(clock.Now()) {
 				targets = append(targets, s.Target)
 			}
 		}
@@ -71,6 +71,11 @@
 	})
 }
 
+// takesProbes reports whether the target may be probed. A zone whose evacuation is in doubt gets no probes either.
+func (s *targetState) takesProbes(now clock.Millis) bool {
+	return !s.closed(now) && !s.evacuation.inDoubt(now)
+}
+
 // applyProbe applies the result of a probe. If the target is down, own requests on it are notified through
 // Placement.TargetDown.
 func (b *Board) applyProbe(r ProbeResult) {
--- a/internal/board/target.go
+++ b/internal/board/target.go
@@ -27,6 +27,7 @@
 	delisted         bool         // not listed, or not listed any more
 	missingUntil     clock.Millis // until when it is used although the list, which is incomplete, lacks it; zero if it is listed
 	doubtedUntil     clock.Millis // until when its entry in the list is not believed, see noteListed
+	evacuation       *evacuation  // of its zone; nil if there is none
 	leaving          bool         // it has said that it takes no more requests, see closeLeaving
 	quietUntil       clock.Millis // until when it wants no requests from this instance
 	down             bool         // it did not answer the last probe
@@ -45,7 +46,9 @@
 }
 
 // closed reports whether the target takes no new requests.
-func (s *targetState) closed(now clock.Millis) bool { return s.left(now) || now < s.quietUntil }
+func (s *targetState) closed(now clock.Millis) bool {
+	return s.left(now) || now < s.quietUntil || s.evacuation.inForce()
+}
 
 // left reports whether the target has left, or is leaving, as far as is known.
 func (s *targetState) left(now clock.Millis) bool {
@@ -54,7 +57,14 @@
 }
 
 // onlyQuiet reports whether the target takes no new requests only since it wants none for a while.
-func (s *targetState) onlyQuiet(now clock.Millis) bool { return !s.left(now) && now < s.quietUntil }
+func (s *targetState) onlyQuiet(now clock.Millis) bool {
+	return !s.left(now) && !s.evacuation.inForce() && now < s.quietUntil
+}
+
+// onlyEvacuated reports whether the target takes no new requests since its zone is evacuated, and may take some when that ends.
+func (s *targetState) onlyEvacuated(now clock.Millis) bool {
+	return !s.left(now) && s.evacuation.inForce()
+}
 
 // slowdown returns the slowdown that the target reported lately, or 1.
 func (s *targetState) slowdown() float64 {
