relay: Place a request anew whose zone was evacuated before it was sent

An attempt asks again before it is sent, and Send may fail with TargetEvacuated when the connection is open. The request is then placed once more; that counts neither as an attempt nor against the retry budget nor as a failed reservation, and the target counts neither as failed nor as unreachable. The refusal for a service all of whose targets are evacuated has the reason evacuated, which pierctl why explains.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -46,6 +46,9 @@
 
 // send sends the request, to be resumed after the last event that the caller has, and returns once the header of the answer has arrived.
 func (a *attempt) send(rl *Relay, r Request, since progress) error {
+	if a.placement.Evacuated() {
+		return errEvacuated
+	}
 	r.HasEvent = since.hasEvent
 	answer, err := rl.Send(a.ctx, r, a.placement, since.lastEventID)
 	if err != nil {
@@ -65,8 +68,11 @@
 	return nil
 }
 
+// errEvacuated is the error of an attempt whose zone was evacuated while it waited for reservations.
+var errEvacuated = &Error{Op: "send", Kind: TargetEvacuated}
+
 // sent reports whether the target may have got the request, given the error of send.
-func sent(err error) bool { return err == nil || KindOf(err) != NotSent }
+func sent(err error) bool { return err == nil || !KindOf(err).provesNotSent() }
 
 // followUp says what may follow an attempt that has not answered the request.
 type followUp uint8
@@ -74,6 +80,7 @@
 const (
 	noFollowUp       followUp = iota // the request is not sent again
 	freeFollowUp                     // another target may be tried, as this one was not reached
+	placedAnew                       // the request is placed once more, as its target was evacuated before it was sent
 	budgetedFollowUp                 // another target may be tried if the budget allows
 )
 
@@ -82,7 +89,12 @@
 func (s *requestState) tryTarget(ctx context.Context, p *board.Placement) (outcome string, tryNext bool) {
 	current, err := s.newAttempt(ctx, p)
 	if err != nil {
+		evacuated := p.Evacuated()
 		p.End(board.Inconclusive)
+		if evacuated {
+			countFailedAttempt(string(TargetEvacuated))
+			return "", true
+		}
 		return "", s.awaitReservation(ctx, err)
 	}
 	for {
@@ -100,6 +112,9 @@
 		if outcome != "" || next == noFollowUp {
 			return outcome, false
 		}
+		if next == placedAnew {
+			return "", true
+		}
 		if current.placement.PartMemory == 0 && !s.helperFailed(current.placement) {
 			s.exclude[current.placement.Target.ID] = true
 		}
@@ -216,8 +231,13 @@
 		kind, ctx = why, s.ctx
 	}
 	s.logFailure(a, kind, err)
-	if kind == NotSent {
+	switch kind {
+	case NotSent:
 		return s.handleNotSent(a)
+	case TargetEvacuated:
+		a.placement.End(board.Inconclusive)
+		countFailedAttempt(string(kind))
+		return "", placedAnew
 	}
 	s.mayHaveRun = true
 	if ctx.Err() != nil {
--- a/internal/relay/error.go
+++ b/internal/relay/error.go
@@ -7,14 +7,18 @@
 
 // The kinds of failure.
 const (
-	NotSent        ErrorKind = "untouched" // the target was not reached, so it has not run the request
-	Broken         ErrorKind = "broken"    // the connection failed, or the answer ended early or could not be read
-	Mismatched     ErrorKind = "foreign"   // the answer belongs to another request or to no target, or an event is out of sequence
-	NotRunUnproven ErrorKind = "unproven"  // a status such as 503, without the statement that the request has not run
-	Stalled        ErrorKind = "silent"    // the target is down and silent, and another one goes on with the answer
-	MemoryIdle     ErrorKind = "idle"      // the target sent nothing, and the memory that was leased was not used
+	NotSent         ErrorKind = "untouched" // the target was not reached, so it has not run the request
+	TargetEvacuated ErrorKind = "evacuated" // the zone of the target, or of a helper, was evacuated before the request was sent
+	Broken          ErrorKind = "broken"    // the connection failed, or the answer ended early or could not be read
+	Mismatched      ErrorKind = "foreign"   // the answer belongs to another request or to no target, or an event is out of sequence
+	NotRunUnproven  ErrorKind = "unproven"  // a status such as 503, without the statement that the request has not run
+	Stalled         ErrorKind = "silent"    // the target is down and silent, and another one goes on with the answer
+	MemoryIdle      ErrorKind = "idle"      // the target sent nothing, and the memory that was leased was not used
 )
 
+// provesNotSent reports whether a target whose attempt has failed so has got nothing of the request.
+func (k ErrorKind) provesNotSent() bool { return k == NotSent || k == TargetEvacuated }
+
 // Error is a failed attempt.
 type Error struct {
 	Op   string
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -108,6 +108,7 @@
 	Full         Reason = "full"          // no engine has enough free memory, or the request cannot be placed for another reason
 	Limited      Reason = "limited"       // all targets have reached the rate limits that they name
 	Quiet        Reason = "quiet"         // all targets want no requests for a while
+	Evacuated    Reason = "evacuated"     // all targets of the service are in evacuated availability zones
 	Refused      Reason = "refused"       // none of the targets that were tried ran the request
 	Expired      Reason = "expired"       // the deadline passed, or was too near, before the request could have run
 	TimedOut     Reason = "timed_out"     // the deadline passed, or was too near for a retry, after a target may have run the request
--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -196,6 +196,7 @@
 		"not placed":        {place: costly},
 		"rejected":          {next: notRun},
 		"unreachable":       {next: func(context.Context, int) (*Answer, error) { return nil, &Error{Op: "send", Kind: NotSent} }},
+		"evacuated":         {next: func(context.Context, int) (*Answer, error) { return nil, &Error{Op: "send", Kind: TargetEvacuated} }},
 		"broken":            {next: func(context.Context, int) (*Answer, error) { return nil, &Error{Op: "send", Kind: Broken} }},
 		"500":               {next: func(context.Context, int) (*Answer, error) { return answerWith(500, "error")(Request{}, 0) }},
 		"wrong event":       {next: func(context.Context, int) (*Answer, error) { return answerWith(200, eventsBetween(1, 6))(Request{}, 0) }},
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -100,6 +100,7 @@
 	"costly":        "refused: the engines were loaded and the prompt would have delayed other requests past their limits; it has not run",
 	"full":          "refused: no engine had enough free memory; it has not run",
 	"too_large":     "refused: all engines together have too little memory; it has not run",
+	"evacuated":     "refused: all targets of the service were in evacuated availability zones; it has not run",
 	"no_target":     "refused: no target of the service was listed; look for log lines of the feed servers",
 	"not_ready":     "refused: the instance had no configuration yet",
 	"draining":      "refused: the instance was shutting down and was no longer named to callers; it has not run",
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -31,6 +31,10 @@
 	var out strings.Builder
 	found.Print(&out)
 	is.True(strings.Contains(out.String(), "entry-2 target down target=x"))
+	const refusal = `{"time":"2026-12-04T06:00:02.3Z","msg":"request refused","instance":"entry-1","request":"d","reason":"evacuated"}`
+	evacuated, err := Read("d", strings.NewReader(refusal))
+	is.NoErr(err)
+	is.True(strings.HasPrefix(evacuated.Explanation(), "evacuated: "))
 	none, err := Read("c", strings.NewReader(firstLog))
 	is.NoErr(err)
 	is.True(strings.HasPrefix(none.Explanation(), "not in these logs"))
