platform: Watch the store for evacuated zones and tell the board

The first list of a new era puts zones that it lacks in doubt.

A probe that is given up so does not count as failed.

--- a/internal/board/evacuate_test.go
+++ b/internal/board/evacuate_test.go
@@ -127,6 +127,28 @@
 	}
 }
 
+// Guards against: a probe that is not sent any more, as the zone is evacuated meanwhile, makes the target count as down, so that the
+// streams there are hedged.
+func TestEvacuatedDuringProbe(t *testing.T) {
+	is := is.New(t)
+	b := newZonedBoards(t, 1)[0]
+	running := placeOn(t, b, short, "engine-2")
+	probe(b, func(target string) (float64, error) {
+		if target != "engine-2" {
+			return 1, nil
+		}
+		setEvacuated(b, ListTrust{}, "b")
+		return 0, eris.New("evacuated")
+	})
+	select {
+	case <-running.TargetDown():
+		t.Fatal("target counts as down")
+	default:
+	}
+	setEvacuated(b, ListTrust{})
+	b.Loop.Call(func() { is.True(b.target("engine-2").usable(clock.Now())) })
+}
+
 // Guards against: a request waits, is told that there is no target or that its prompt is too large, when all targets of its service
 // are evacuated, or is told of the evacuation when others take requests soon.
 func TestAllZonesEvacuated(t *testing.T) {
--- a/internal/board/leave.go
+++ b/internal/board/leave.go
@@ -12,10 +12,10 @@
 // are younger.
 const departureMemory = clock.Minute
 
-// ListTrust says how far a list of targets can be believed; the zero value, wholly.
+// ListTrust says how far a list of targets, or of evacuated zones, can be believed; the zero value, wholly.
 type ListTrust struct {
 	IncompleteUntil clock.Millis // until then, targets that are in use may be missing, as after an outage of the list's source
-	DoubtUntil      clock.Millis // until then, entries of targets that have left are not believed
+	DoubtUntil      clock.Millis // until then, entries of targets that have left are not believed, nor that a zone is no longer evacuated
 }
 
 // Notice is what a target says of itself in an answer.
--- a/internal/board/probe.go
+++ b/internal/board/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -63,6 +64,7 @@
 		return
 	}
 	b.Loop.Post(func() {
+		results = slices.DeleteFunc(results, b.givenUp)
 		for _, r := range results {
 			b.applyProbe(r)
 		}
@@ -76,6 +78,12 @@
 	return !s.closed(now) && !s.evacuation.inDoubt(now)
 }
 
+// givenUp reports whether a probe has failed that was not sent any more, as its target's zone was evacuated meanwhile.
+func (b *Board) givenUp(r ProbeResult) bool {
+	s := b.targets[r.Target]
+	return r.Down && s != nil && s.evacuation.inForce()
+}
+
 // applyProbe applies the result of a probe. If the target is down, own requests on it are notified through
 // Placement.TargetDown.
 func (b *Board) applyProbe(r ProbeResult) {
--- a/internal/feed/fresh_test.go
+++ b/internal/feed/fresh_test.go
@@ -191,3 +191,32 @@
 	}
 	is.Equal(found.Load(), int64(1))
 }
+
+// Guards against: an instance with another number of feeds, as builds and settings differ, does not understand how fresh the objects are
+// that both have, or takes one object's freshness for another's.
+func TestGossipOfFewerFeeds(t *testing.T) {
+	is := is.New(t)
+	newGossip := func(feeds int) *Gossip {
+		g := &Gossip{Peers: func() []string { return []string{"other"} }}
+		for n := range feeds {
+			f := &Feed{Name: "test", Apply: func(Object) error { return nil }}
+			f.Init()
+			f.applyIfNewer(Object{Version: Version{Number: uint64(n + 1)}, Value: []byte("1")})
+			g.Feeds = append(g.Feeds, f)
+		}
+		g.Init()
+		return g
+	}
+	for _, from := range []int{2, 3} {
+		teller, told := newGossip(from), newGossip(5-from)
+		teller.Send = func(_ string, data []byte) { told.Receive("other", data) }
+		for _, f := range teller.Feeds {
+			f.raiseConfirmedAt(clock.Now())
+		}
+		teller.tell()
+		for n, f := range told.Feeds {
+			is.Equal(f.ConfirmedAt() > 0, n < 2)
+			is.Equal(f.StaleFor(), clock.Millis(0))
+		}
+	}
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -37,6 +37,8 @@
 type Versions struct {
 	Config  feed.Version `cbor:"3,keyasint"`
 	Targets feed.Version `cbor:"4,keyasint"`
+	// Evacuations is the version of the list of evacuated availability zones; zero if the instance has none, as in older builds.
+	Evacuations feed.Version `cbor:"5,keyasint,omitzero"`
 }
 
 type packetKind uint8
--- a/internal/member/odd_test.go
+++ b/internal/member/odd_test.go
@@ -6,7 +6,10 @@
 	"strings"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
+
+	"github.com/corianderpier/corianderpier/internal/feed"
 )
 
 // Guards against: what another program has written of an instance is believed although it cannot be true, so that the instance
@@ -42,3 +45,29 @@
 		}
 	}
 }
+
+// Guards against: instances of older builds, which know no list of evacuated zones, do not understand the versions of this build, or this
+// build theirs.
+func TestVersionsOfOlderBuild(t *testing.T) {
+	is := is.New(t)
+	type olderVersions struct {
+		Config  feed.Version `cbor:"3,keyasint"`
+		Targets feed.Version `cbor:"4,keyasint"`
+	}
+	older := olderVersions{Config: feed.Version{Number: 3}, Targets: feed.Version{Era: 1, Number: 4}}
+	v := Versions{Config: older.Config, Targets: older.Targets}
+	want, err := cbor.Marshal(older)
+	is.NoErr(err)
+	got, err := cbor.Marshal(v)
+	is.NoErr(err)
+	is.Equal(got, want) // without a list
+	v.Evacuations = feed.Version{Era: 1, Number: 5}
+	data, err := cbor.Marshal(v)
+	is.NoErr(err)
+	var decoded olderVersions
+	is.NoErr(cbor.Unmarshal(data, &decoded))
+	is.Equal(decoded, older)
+	var read Versions
+	is.NoErr(cbor.Unmarshal(want, &read))
+	is.Equal(read, Versions{Config: older.Config, Targets: older.Targets})
+}
