--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -64,7 +64,9 @@
 	limitNamed       atomic.Bool // some target has named a rate limit
 	coldNamed        atomic.Bool // some target is cold, or was until lately
 	cell             cell
-	listed           bool // there was a list of targets
+	listed           bool                   // there was a list of targets
+	evacuations      map[string]*evacuation // by zone
+	anyEvacuated     atomic.Bool            // some zone is evacuated, or may be
 }
 
 // packet is a datagram between instances.
@@ -86,6 +88,7 @@
 func (b *Board) Init() {
 	b.targets = make(map[string]*targetState)
 	b.departed = make(map[string]departure)
+	b.evacuations = make(map[string]*evacuation)
 	b.requests = make(map[requestKey]*knownRequest)
 	b.ownRequests = make(map[uint64]*ActiveRequest)
 	b.placedAt = make(map[uint64]clock.Millis)
@@ -123,7 +126,7 @@
 	for _, t := range targets {
 		listed[t.ID] = true
 		s := b.target(t.ID)
-		change := s.update(t, b.engine(t.Service))
+		change := s.update(t, b.engine(t.Service), b.evacuations[t.Zone])
 		b.noteStarted(now, s, change)
 		b.noteListed(now, t, trust.DoubtUntil)
 	}
@@ -160,8 +163,8 @@
 	cold     bool // its cold time or its start differ
 }
 
-// update applies an entry of the list of targets.
-func (s *targetState) update(t Target, e model.Engine) entryChange {
+// update applies an entry of the list of targets. zone is the evacuation of its zone, or nil.
+func (s *targetState) update(t Target, e model.Engine, zone *evacuation) entryChange {
 	restarted := t.Born != s.Born || t.Addr != s.Addr
 	change := entryChange{
 		returned: s.delisted || restarted || s.Draining && !t.Draining,
@@ -173,7 +176,7 @@
 	if s.Draining && !t.Draining {
 		s.leaving = false
 	}
-	s.Target, s.schedule.Engine, s.delisted, s.missingUntil = t, e, false, 0
+	s.Target, s.schedule.Engine, s.delisted, s.missingUntil, s.evacuation = t, e, false, 0, zone
 	return change
 }
 
@@ -254,9 +257,10 @@
 
 // shortage says why targets were left out that may run a request later.
 type shortage struct {
-	limited bool         // some have reached their rate limits
-	wait    clock.Millis // time until the first cold one of these may take a request; zero if none is cold
-	quiet   clock.Millis // time until the first of those that want no requests for a while takes one; zero if there is none
+	limited   bool         // some have reached their rate limits
+	wait      clock.Millis // time until the first cold one of these may take a request; zero if none is cold
+	quiet     clock.Millis // time until the first of those that want no requests for a while takes one; zero if there is none
+	evacuated bool         // some are in zones that are evacuated, or may be
 }
 
 // err returns the error for a request that no target may run now.
@@ -266,6 +270,8 @@
 		return &Error{Op: "place", Kind: Limited, Wait: s.wait}
 	case s.quiet > 0:
 		return &Error{Op: "place", Kind: Quiet, Wait: s.quiet}
+	case s.evacuated:
+		return &Error{Op: "place", Kind: Evacuated}
 	default:
 		return &Error{Op: "place", Kind: NoTarget}
 	}
@@ -279,6 +285,16 @@
 	}
 }
 
+// addClosed records a target that takes no new requests, if that is only for a while.
+func (s *shortage) addClosed(now clock.Millis, t *targetState) {
+	switch {
+	case t.onlyQuiet(now):
+		s.addQuiet(t.quietUntil - now)
+	case t.onlyEvacuated(now):
+		s.evacuated = true
+	}
+}
+
 // addQuiet records a target that wants no requests for so long.
 func (s *shortage) addQuiet(left clock.Millis) {
 	if s.quiet == 0 || left < s.quiet {
@@ -287,17 +303,16 @@
 }
 
 // eligibleTargets returns the targets that may run a request. If there are none in the cell, it falls back to those of other
-// cells, then to ejected targets, for hedges then to cold ones, and then to the targets that the request excludes.
+// cells, then to ejected targets, for hedges then to cold ones, to the targets that the request excludes, and then to those of zones whose
+// evacuation is in doubt.
 func (b *Board) eligibleTargets(now clock.Millis, req Requirements, inCell func(target string) bool) (eligible []*targetState, short shortage) {
-	var usable, elsewhere, ejected, cold, excluded []*targetState
+	var usable, elsewhere, ejected, cold, excluded, doubtful []*targetState
 	for _, s := range b.targets {
 		if s.Service != req.Service {
 			continue
 		}
 		if s.closed(now) {
-			if s.onlyQuiet(now) {
-				short.addQuiet(s.quietUntil - now)
-			}
+			short.addClosed(now, s)
 			continue
 		}
 		if may, wait := b.mayUse(now, s); !may {
@@ -305,6 +320,9 @@
 			continue
 		}
 		switch {
+		case s.evacuation.inDoubt(now):
+			short.evacuated = true
+			doubtful = append(doubtful, s)
 		case req.Exclude[s.ID]:
 			excluded = append(excluded, s)
 		case req.Hedge && now < s.cold.end():
@@ -317,12 +335,12 @@
 			ejected = append(ejected, s)
 		}
 	}
-	for _, targets := range [][]*targetState{usable, elsewhere, ejected, cold} {
+	for _, targets := range [][]*targetState{usable, elsewhere, ejected, cold, excluded} {
 		if len(targets) > 0 {
 			return targets, short
 		}
 	}
-	return excluded, short
+	return notExcluded(doubtful, req), short
 }
 
 // anyCell is used in place of Board.inCell when targets of all cells are eligible.
--- a/internal/board/leave.go
+++ b/internal/board/leave.go
@@ -12,10 +12,10 @@
 // are younger.
 const departureMemory = clock.Minute
 
-// ListTrust says how far a list of targets can be believed; the zero value, wholly.
+// ListTrust says how far a list of targets, or of evacuated zones, can be believed; the zero value, wholly.
 type ListTrust struct {
 	IncompleteUntil clock.Millis // until then, targets that are in use may be missing, as after an outage of the list's source
-	DoubtUntil      clock.Millis // until then, entries of targets that have left are not believed
+	DoubtUntil      clock.Millis // until then, entries of targets that have left are not believed, nor that a zone is no longer evacuated
 }
 
 // Notice is what a target says of itself in an answer.
@@ -136,7 +136,7 @@
 // applyDoubt closes a target that another instance knows to have left, until its entry is believed again.
 func (b *Board) applyDoubt(now clock.Millis, d TargetDoubt) {
 	s := b.targets[d.Target]
-	if s == nil || s.Born != d.Born || s.closed(now) {
+	if s == nil || s.Born != d.Born || s.left(now) || now < s.quietUntil {
 		return
 	}
 	s.doubtedUntil = now + min(d.Left, maxDoubt)
--- a/internal/board/probe.go
+++ b/internal/board/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -33,7 +34,7 @@
 	var targets []Target
 	b.Loop.Call(func() {
 		for id, s := range b.targets {
-			if !s.closed(clock.Now()) && b.engine(s.Service).PrefillRate > 0 && b.Monitors(id) && b.probeDue(clock.Now(), s) {
+			if s.takesProbes(clock.Now()) && b.engine(s.Service).PrefillRate > 0 && b.Monitors(id) && b.probeDue(clock.Now(), s) {
 				targets = append(targets, s.Target)
 			}
 		}
@@ -63,6 +64,7 @@
 		return
 	}
 	b.Loop.Post(func() {
+		results = slices.DeleteFunc(results, b.givenUp)
 		for _, r := range results {
 			b.applyProbe(r)
 		}
@@ -71,6 +73,17 @@
 	})
 }
 
+// takesProbes reports whether the target may be probed. A zone whose evacuation is in doubt gets no probes either.
+func (s *targetState) takesProbes(now clock.Millis) bool {
+	return !s.closed(now) && !s.evacuation.inDoubt(now)
+}
+
+// givenUp reports whether a probe has failed that was not sent any more, as its target's zone was evacuated meanwhile.
+func (b *Board) givenUp(r ProbeResult) bool {
+	s := b.targets[r.Target]
+	return r.Down && s != nil && s.evacuation.inForce()
+}
+
 // applyProbe applies the result of a probe. If the target is down, own requests on it are notified through
 // Placement.TargetDown.
 func (b *Board) applyProbe(r ProbeResult) {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -121,6 +121,7 @@
 	BodyTooLarge Reason = "body_too_large" // the body is longer than the configuration allows
 	BodyLate     Reason = "body_late"      // the body did not come in time
 	NoMemory     Reason = "memory"         // the instance has no memory for the request
+	Evacuated    Reason = "evacuated"      // all targets of the service are in evacuated availability zones
 )
 
 // Refusal is the answer to a caller that gets none from a target.
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -116,6 +116,7 @@
 	"body_late":        "refused: its body did not come in time; it has not run",
 	"body_too_large":   "refused: its body was longer than max_body_bytes; it has not run",
 	"header_too_large": "refused: its head was longer than max_header_bytes; it has not run",
+	"evacuated":        "refused: all targets of the service were in evacuated availability zones; it has not run",
 }
 
 // Explanation explains how the request ended, or why the logs do not show its end.
