board: Extend the doubt about an evacuation when the store comes back once more

A zone in doubt kept the time of the first copy when the store came back from another one, so that it was used before the doubt about that copy was over. The later of both times counts now. TestEvacuationInDoubtTwice failed before (0 zones in doubt after the first time, 1 wanted) and passes now.

--- a/internal/board/evacuate.go
+++ b/internal/board/evacuate.go
@@ -42,11 +42,11 @@
 		}
 		for zone, e := range b.evacuations {
 			switch {
-			case listed[zone] || e.inDoubt(now):
+			case listed[zone]:
 			case now < trust.DoubtUntil:
-				e.doubtUntil = trust.DoubtUntil
-				slog.Info("zone evacuation in doubt, missing from an older copy", "zone", zone, "doubt_ms", int64(trust.DoubtUntil-now))
-			default:
+				e.doubtUntil = max(e.doubtUntil, trust.DoubtUntil) // the store may come back from a copy once more
+				slog.Info("zone evacuation in doubt, missing from an older copy", "zone", zone, "doubt_ms", int64(e.doubtUntil-now))
+			case e.inForce():
 				b.endEvacuation(now, zone)
 			}
 		}
--- a/internal/board/evacuate_test.go
+++ b/internal/board/evacuate_test.go
@@ -211,6 +211,24 @@
 	is.True(zonesUsed(t, b, short, 60)["b"] > 0)
 }
 
+// Guards against: the store comes back from an older copy a second time while a zone is in doubt, and the zone is used before the doubt
+// about that copy is over.
+func TestEvacuationInDoubtTwice(t *testing.T) {
+	is := is.New(t)
+	b := newZonedBoards(t, 1)[0]
+	setEvacuated(b, ListTrust{}, "b")
+	first := clock.Now() + clock.Minute
+	setEvacuated(b, ListTrust{DoubtUntil: first})
+	setEvacuated(b, ListTrust{DoubtUntil: first + clock.Minute})
+	b.Loop.Call(func() { b.endDoubtfulEvacuations(first) })
+	is.Equal(len(b.EvacuatedZones()), 1)
+	setEvacuated(b, ListTrust{DoubtUntil: first})
+	b.Loop.Call(func() { b.endDoubtfulEvacuations(first + clock.Minute - 1) })
+	is.Equal(len(b.EvacuatedZones()), 1) // a shorter doubt does not end a longer one
+	b.Loop.Call(func() { b.endDoubtfulEvacuations(first + clock.Minute) })
+	is.Equal(len(b.EvacuatedZones()), 0)
+}
+
 // Guards against: a placement that waited while its zone, or that of a helper, was evacuated is sent.
 func TestPlacementEvacuated(t *testing.T) {
 	is := is.New(t)
