board: Keep a zone in doubt until its targets count as cold

Once the time of the doubt had passed, the zone's targets were used like any other for up to a second, until the periodic check ended the evacuation and made them count as cold. The doubt lasts until that check now. TestDoubtLastsUntilItIsEnded failed before (3 eligible targets, 2 wanted) and passes now. A zone in doubt that is listed again is logged; it was not.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -265,7 +265,7 @@
 		case s.closed(now):
 		case !b.mayUse(now, s):
 			short.limited = true
-		case s.evacuation.inDoubt(now):
+		case s.evacuation.inDoubt():
 			short.evacuated = true
 			doubtful = append(doubtful, s)
 		case req.Exclude[s.ID]:
--- a/internal/board/evacuate.go
+++ b/internal/board/evacuate.go
@@ -19,8 +19,9 @@
 // inForce reports whether the zone's targets take no new requests.
 func (e *evacuation) inForce() bool { return e != nil && e.doubtUntil == 0 }
 
-// inDoubt reports whether the zone's targets are used only if there are no others.
-func (e *evacuation) inDoubt(now clock.Millis) bool { return e != nil && now < e.doubtUntil }
+// inDoubt reports whether the zone's targets are used only if there are no others. A doubt that is over lasts until endDoubtfulEvacuations,
+// which makes the targets count as cold.
+func (e *evacuation) inDoubt() bool { return e != nil && e.doubtUntil > 0 }
 
 // EvacuatedZone is the state of one evacuated zone, for operators.
 type EvacuatedZone struct {
@@ -56,6 +57,9 @@
 // evacuate applies an entry of the list of evacuated zones.
 func (b *Board) evacuate(now clock.Millis, zone string) {
 	if e := b.evacuations[zone]; e != nil {
+		if e.inDoubt() {
+			slog.Info("zone evacuation no longer in doubt, listed again", "zone", zone, "requests", runningOn(b.targetsIn(zone)))
+		}
 		e.doubtUntil = 0
 		return
 	}
@@ -89,7 +93,7 @@
 // endDoubtfulEvacuations ends the evacuations whose doubt is over.
 func (b *Board) endDoubtfulEvacuations(now clock.Millis) {
 	for zone, e := range b.evacuations {
-		if !e.inForce() && !e.inDoubt(now) {
+		if e.inDoubt() && now >= e.doubtUntil {
 			b.endEvacuation(now, zone)
 		}
 	}
@@ -159,7 +163,7 @@
 		now := clock.Now()
 		for zone, e := range b.evacuations {
 			if targets := b.targetsIn(zone); len(targets) > 0 {
-				zones = append(zones, EvacuatedZone{Zone: zone, Age: now - e.since, InDoubt: !e.inForce(), Requests: runningOn(targets)})
+				zones = append(zones, EvacuatedZone{Zone: zone, Age: now - e.since, InDoubt: e.inDoubt(), Requests: runningOn(targets)})
 			}
 		}
 	})
--- a/internal/board/evacuate_test.go
+++ b/internal/board/evacuate_test.go
@@ -229,6 +229,23 @@
 	is.Equal(len(b.EvacuatedZones()), 0)
 }
 
+// Guards against: targets of a zone are used like any other between the end of its doubt and the next periodic check, which is the one
+// that makes them count as cold.
+func TestDoubtLastsUntilItIsEnded(t *testing.T) {
+	is := is.New(t)
+	b := newZonedBoards(t, 1)[0]
+	setEvacuated(b, ListTrust{}, "b")
+	var before, after []*targetState
+	b.Loop.Call(func() {
+		b.evacuations["b"].doubtUntil = clock.Now() - 1
+		before, _ = b.eligibleTargets(clock.Now(), plain, anyCell)
+		b.endDoubtfulEvacuations(clock.Now())
+		after, _ = b.eligibleTargets(clock.Now(), plain, anyCell)
+	})
+	is.Equal(len(before), 2)
+	is.Equal(len(after), 3)
+}
+
 // Guards against: a placement that waited while its zone, or that of a helper, was evacuated is sent.
 func TestPlacementEvacuated(t *testing.T) {
 	is := is.New(t)
--- a/internal/board/probe.go
+++ b/internal/board/probe.go
@@ -75,7 +75,7 @@
 
 // takesProbes reports whether the target may be probed. A zone whose evacuation is in doubt gets no probes either.
 func (s *targetState) takesProbes(now clock.Millis) bool {
-	return !s.closed(now) && !s.evacuation.inDoubt(now)
+	return !s.closed(now) && !s.evacuation.inDoubt()
 }
 
 // givenUp reports whether a probe has failed that was not sent any more, as its target's zone was evacuated meanwhile.
