board: Count unknown evacuated zones once targets are listed

A zone was compared with the known targets as soon as it was listed. At the start of an instance, when others had told of targets whose zones it did not know yet, a valid zone counted as unknown; with no target known, an unknown one was never counted. Zones are compared once, when some target is listed, and a log line names an unknown one. TestUnknownZonesCounted failed before and passes now.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -120,6 +120,7 @@
 				s.missingUntil = trust.IncompleteUntil
 			}
 		}
+		b.countUnknownZones()
 	})
 }
 
--- a/internal/board/evacuate.go
+++ b/internal/board/evacuate.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"maps"
 	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,6 +15,7 @@
 type evacuation struct {
 	since      clock.Millis // when this instance learned of it
 	doubtUntil clock.Millis // until then it may still be in force, although the list, which comes from an older copy, lacks it; zero if it is listed
+	compared   bool         // with the zones of listed targets, see countUnknownZones
 }
 
 // inForce reports whether the zone's targets take no new requests.
@@ -51,6 +53,7 @@
 				b.endEvacuation(now, zone)
 			}
 		}
+		b.countUnknownZones()
 	})
 }
 
@@ -71,12 +74,25 @@
 		s.evacuation = e
 	}
 	metrics.GetOrCreateCounter(`pier_board_zone_evacuated_total`).Inc()
-	if len(targets) == 0 && len(b.targets) > 0 {
-		metrics.GetOrCreateCounter(`pier_board_zone_unknown_total`).Inc()
-	}
 	slog.Info("zone evacuated", "zone", zone, "targets", len(targets), "requests", runningOn(targets))
 }
 
+// countUnknownZones counts each evacuated zone once that has no target when targets are listed. An instance that starts may get the list of
+// zones first, and hear of targets from others before it knows their zones.
+func (b *Board) countUnknownZones() {
+	listed := func(s *targetState) bool { return !s.delisted }
+	if len(b.evacuations) == 0 || !slices.ContainsFunc(slices.Collect(maps.Values(b.targets)), listed) {
+		return
+	}
+	for zone, e := range b.evacuations {
+		if !e.compared && len(b.targetsIn(zone)) == 0 {
+			metrics.GetOrCreateCounter(`pier_board_zone_unknown_total`).Inc()
+			slog.Info("evacuated zone has no targets", "zone", zone)
+		}
+		e.compared = true
+	}
+}
+
 // endEvacuation lets the targets of a zone take requests again. They have had none for a while, so that they count as cold.
 func (b *Board) endEvacuation(now clock.Millis, zone string) {
 	lasted := now - b.evacuations[zone].since
--- a/internal/board/evacuate_test.go
+++ b/internal/board/evacuate_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 	"github.com/rotisserie/eris"
 	"pgregory.net/rapid"
@@ -284,6 +285,26 @@
 	is.Equal(placeKind(b, plain), Evacuated)
 }
 
+// Guards against: a valid zone counts as unknown since others tell of targets before the list of targets is there, or an unknown one is not
+// counted as it was listed before the targets, or is counted with each list.
+func TestUnknownZonesCounted(t *testing.T) {
+	is := is.New(t)
+	b := newBoards(t, 1, 0)[0]
+	unknown := metrics.GetOrCreateCounter(`pier_board_zone_unknown_total`)
+	before := unknown.Get()
+	b.Loop.Call(func() {
+		clear(b.targets) // as at the start
+		b.target("engine-0")
+	})
+	setEvacuated(b, ListTrust{}, "b", "nowhere")
+	is.Equal(unknown.Get()-before, uint64(0))
+	for range 2 {
+		setTargets(b, zonedTargets()...)
+		setEvacuated(b, ListTrust{}, "b", "nowhere")
+	}
+	is.Equal(unknown.Get()-before, uint64(1))
+}
+
 // Guards against: word of others that a target has left is lost as its zone is evacuated just then, so that the target is used when the
 // evacuation ends.
 func TestDoubtToldDuringEvacuation(t *testing.T) {
