--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -140,6 +140,7 @@
 			s.missingUntil = trust.IncompleteUntil
 		}
 	}
+	b.countUnknownZones()
 	b.listed = true
 }
 
@@ -320,7 +321,7 @@
 			continue
 		}
 		switch {
-		case s.evacuation.inDoubt(now):
+		case s.evacuation.inDoubt():
 			short.evacuated = true
 			doubtful = append(doubtful, s)
 		case req.Exclude[s.ID]:
--- a/internal/board/evacuate.go
+++ b/internal/board/evacuate.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"maps"
 	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,13 +15,15 @@
 type evacuation struct {
 	since      clock.Millis // when this instance learned of it
 	doubtUntil clock.Millis // until then it may still be in force, although the list, which comes from an older copy, lacks it; zero if it is listed
+	compared   bool         // with the zones of listed targets, see countUnknownZones
 }
 
 // inForce reports whether the zone's targets take no new requests.
 func (e *evacuation) inForce() bool { return e != nil && e.doubtUntil == 0 }
 
-// inDoubt reports whether the zone's targets are used only if there are no others.
-func (e *evacuation) inDoubt(now clock.Millis) bool { return e != nil && now < e.doubtUntil }
+// inDoubt reports whether the zone's targets are used only if there are no others. A doubt that is over lasts until endDoubtfulEvacuations,
+// which makes the targets count as cold.
+func (e *evacuation) inDoubt() bool { return e != nil && e.doubtUntil > 0 }
 
 // EvacuatedZone is the state of one evacuated zone, for operators.
 type EvacuatedZone struct {
@@ -42,20 +45,24 @@
 		}
 		for zone, e := range b.evacuations {
 			switch {
-			case listed[zone] || e.inDoubt(now):
+			case listed[zone]:
 			case now < trust.DoubtUntil:
-				e.doubtUntil = trust.DoubtUntil
-				slog.Info("zone evacuation in doubt, missing from an older copy", "zone", zone, "doubt_ms", int64(trust.DoubtUntil-now))
-			default:
+				e.doubtUntil = max(e.doubtUntil, trust.DoubtUntil) // the store may come back from a copy once more
+				slog.Info("zone evacuation in doubt, missing from an older copy", "zone", zone, "doubt_ms", int64(e.doubtUntil-now))
+			case e.inForce():
 				b.endEvacuation(now, zone)
 			}
 		}
+		b.countUnknownZones()
 	})
 }
 
 // evacuate applies an entry of the list of evacuated zones.
 func (b *Board) evacuate(now clock.Millis, zone string) {
 	if e := b.evacuations[zone]; e != nil {
+		if e.inDoubt() {
+			slog.Info("zone evacuation no longer in doubt, listed again", "zone", zone, "requests", runningOn(b.targetsIn(zone)))
+		}
 		e.doubtUntil = 0
 		return
 	}
@@ -67,12 +74,25 @@
 		s.evacuation = e
 	}
 	metrics.GetOrCreateCounter(`pier_board_zone_evacuated_total`).Inc()
-	if len(targets) == 0 && len(b.targets) > 0 {
-		metrics.GetOrCreateCounter(`pier_board_zone_unknown_total`).Inc()
-	}
 	slog.Info("zone evacuated", "zone", zone, "targets", len(targets), "requests", runningOn(targets))
 }
 
+// countUnknownZones counts each evacuated zone once that has no target when targets are listed. An instance that starts may get the list of
+// zones first, and hear of targets from others before it knows their zones.
+func (b *Board) countUnknownZones() {
+	listed := func(s *targetState) bool { return !s.delisted }
+	if len(b.evacuations) == 0 || !slices.ContainsFunc(slices.Collect(maps.Values(b.targets)), listed) {
+		return
+	}
+	for zone, e := range b.evacuations {
+		if !e.compared && len(b.targetsIn(zone)) == 0 {
+			metrics.GetOrCreateCounter(`pier_board_zone_unknown_total`).Inc()
+			slog.Info("evacuated zone has no targets", "zone", zone)
+		}
+		e.compared = true
+	}
+}
+
 // endEvacuation lets the targets of a zone take requests again. They have had none for a while, so that they count as cold.
 func (b *Board) endEvacuation(now clock.Millis, zone string) {
 	lasted := now - b.evacuations[zone].since
@@ -89,7 +109,7 @@
 // endDoubtfulEvacuations ends the evacuations whose doubt is over.
 func (b *Board) endDoubtfulEvacuations(now clock.Millis) {
 	for zone, e := range b.evacuations {
-		if !e.inForce() && !e.inDoubt(now) {
+		if e.inDoubt() && now >= e.doubtUntil {
 			b.endEvacuation(now, zone)
 		}
 	}
@@ -159,7 +179,7 @@
 		now := clock.Now()
 		for zone, e := range b.evacuations {
 			if targets := b.targetsIn(zone); len(targets) > 0 {
-				zones = append(zones, EvacuatedZone{Zone: zone, Age: now - e.since, InDoubt: !e.inForce(), Requests: runningOn(targets)})
+				zones = append(zones, EvacuatedZone{Zone: zone, Age: now - e.since, InDoubt: e.inDoubt(), Requests: runningOn(targets)})
 			}
 		}
 	})
--- a/internal/board/evacuate_test.go
+++ b/internal/board/evacuate_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 	"github.com/rotisserie/eris"
 	"pgregory.net/rapid"
@@ -211,6 +212,41 @@
 	is.True(zonesUsed(t, b, short, 60)["b"] > 0)
 }
 
+// Guards against: the store comes back from an older copy a second time while a zone is in doubt, and the zone is used before the doubt
+// about that copy is over.
+func TestEvacuationInDoubtTwice(t *testing.T) {
+	is := is.New(t)
+	b := newZonedBoards(t, 1)[0]
+	setEvacuated(b, ListTrust{}, "b")
+	first := clock.Now() + clock.Minute
+	setEvacuated(b, ListTrust{DoubtUntil: first})
+	setEvacuated(b, ListTrust{DoubtUntil: first + clock.Minute})
+	b.Loop.Call(func() { b.endDoubtfulEvacuations(first) })
+	is.Equal(len(b.EvacuatedZones()), 1)
+	setEvacuated(b, ListTrust{DoubtUntil: first})
+	b.Loop.Call(func() { b.endDoubtfulEvacuations(first + clock.Minute - 1) })
+	is.Equal(len(b.EvacuatedZones()), 1) // a shorter doubt does not end a longer one
+	b.Loop.Call(func() { b.endDoubtfulEvacuations(first + clock.Minute) })
+	is.Equal(len(b.EvacuatedZones()), 0)
+}
+
+// Guards against: targets of a zone are used like any other between the end of its doubt and the next periodic check, which is the one
+// that makes them count as cold.
+func TestDoubtLastsUntilItIsEnded(t *testing.T) {
+	is := is.New(t)
+	b := newZonedBoards(t, 1)[0]
+	setEvacuated(b, ListTrust{}, "b")
+	var before, after []*targetState
+	b.Loop.Call(func() {
+		b.evacuations["b"].doubtUntil = clock.Now() - 1
+		before, _ = b.eligibleTargets(clock.Now(), plain, anyCell)
+		b.endDoubtfulEvacuations(clock.Now())
+		after, _ = b.eligibleTargets(clock.Now(), plain, anyCell)
+	})
+	is.Equal(len(before), 2)
+	is.Equal(len(after), 3)
+}
+
 // Guards against: a placement that waited while its zone, or that of a helper, was evacuated is sent.
 func TestPlacementEvacuated(t *testing.T) {
 	is := is.New(t)
@@ -249,6 +285,26 @@
 	is.Equal(placeKind(b, plain), Evacuated)
 }
 
+// Guards against: a valid zone counts as unknown since others tell of targets before the list of targets is there, or an unknown one is not
+// counted as it was listed before the targets, or is counted with each list.
+func TestUnknownZonesCounted(t *testing.T) {
+	is := is.New(t)
+	b := newBoards(t, 1, 0)[0]
+	unknown := metrics.GetOrCreateCounter(`pier_board_zone_unknown_total`)
+	before := unknown.Get()
+	b.Loop.Call(func() {
+		clear(b.targets) // as at the start
+		b.target("engine-0")
+	})
+	setEvacuated(b, ListTrust{}, "b", "nowhere")
+	is.Equal(unknown.Get()-before, uint64(0))
+	for range 2 {
+		setTargets(b, zonedTargets()...)
+		setEvacuated(b, ListTrust{}, "b", "nowhere")
+	}
+	is.Equal(unknown.Get()-before, uint64(1))
+}
+
 // Guards against: word of others that a target has left is lost as its zone is evacuated just then, so that the target is used when the
 // evacuation ends.
 func TestDoubtToldDuringEvacuation(t *testing.T) {
