serve: Let the largest limit on heads refuse no head

The limit and the slack beyond it were added, so that a max_header_bytes near the largest number became negative and each head got 431. TestLargestHeadLimit failed before, and passes now.

--- a/internal/serve/limits.go
+++ b/internal/serve/limits.go
@@ -122,7 +122,7 @@
 	if len(data) == 0 {
 		return true
 	}
-	if most := c.limits.headBytes(); most > 0 && c.headBytes() > most+headSlack {
+	if most := c.limits.headBytes(); most > 0 && c.headBytes()-headSlack > most {
 		c.refuse(http.StatusRequestHeaderFieldsTooLarge, "header_too_large", "")
 		return false
 	}
--- a/internal/serve/limits_test.go
+++ b/internal/serve/limits_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -86,6 +87,16 @@
 	waitForUse(t, a, 0)
 }
 
+// Guards against: a limit on heads near the largest number overflows, and each head is refused.
+func TestLargestHeadLimit(t *testing.T) {
+	is := is.New(t)
+	server, client := net.Pipe()
+	defer func() { _ = client.Close() }()
+	c := &timeoutConn{Conn: server, limits: Limits{HeadBytes: func() int { return math.MaxInt }}}
+	defer func() { _ = server.Close() }()
+	is.True(c.takeHead([]byte("GET / HTTP/1.1\r\n")))
+}
+
 // Guards against: a request that was read together with the one before it is not charged for its head.
 func TestPipelinedHeadCharged(t *testing.T) {
 	is := is.New(t)
