quota: Leave nothing reserved by a holder that has ended

Close gave all bytes back but kept the number of those that stay until Close, so that a Reset or a Release after it charged these again, for good: a server that shuts down may close an idle connection before its goroutine has recorded that it is idle.

--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -135,6 +135,7 @@
 	}
 	h.ended = true
 	h.give(h.held)
+	h.kept = 0
 	h.evicted = true // it gets no further bytes
 	delete(h.account.holders, h)
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -164,6 +164,10 @@
 	h.Close()
 	is.Equal(a.Used(), int64(0))
 	is.True(Is(h.Reserve(1)))
+	h.Reset() // a server that shuts down closes idle connections, whose goroutines may only then record that they are idle
+	is.Equal(a.Used(), int64(0))
+	h.Release(1)
+	is.Equal(a.Used(), int64(0))
 }
 
 // Guards against: new callers find no connection as silent ones hold all, or one in service is closed for them.
