detour: Count carried connections that are refused for want of memory

They answered busy, as those beyond the limit on their number do, and no counter told the two apart. TestCarriedConnectionsCharged failed before (0 counted), and passes now.

--- a/internal/detour/carrier.go
+++ b/internal/detour/carrier.go
@@ -27,6 +27,8 @@
 	deliveryTime     = 50 * clock.Millis(1) // for the last bytes of a carried connection to reach the other instance
 )
 
+var carriedRefusals = metrics.NewCounter(`pier_quota_refused_total{reason="carried"}`)
+
 // Target is a process to which a connection is opened.
 type Target struct {
 	ID      string `cbor:"1,keyasint"`
@@ -117,6 +119,7 @@
 	if err := holder.Reserve(carriedBytes); err != nil {
 		c.active.Add(-1)
 		holder.Close()
+		carriedRefusals.Inc()
 		return nil, Busy
 	}
 	ctx, cancel := context.WithTimeout(ctx, carrierTimeout.Duration())
--- a/internal/detour/memory_test.go
+++ b/internal/detour/memory_test.go
@@ -11,8 +11,8 @@
 	"github.com/corianderpier/corianderpier/internal/quota"
 )
 
-// Guards against: connections that are carried for other instances use memory that the account does not have, or stay charged after
-// their end.
+// Guards against: connections that are carried for other instances use memory that the account does not have, stay charged after their
+// end, or are refused without being counted.
 func TestCarriedConnectionsCharged(t *testing.T) {
 	is := is.New(t)
 	reached := true
@@ -31,8 +31,10 @@
 	is.Equal(result, Joined)
 	second, result := c.open(t.Context(), Target{})
 	is.Equal(result, Joined)
+	before := carriedRefusals.Get()
 	_, result = c.open(t.Context(), Target{})
 	is.Equal(result, Busy)
+	is.Equal(carriedRefusals.Get(), before+1)
 	is.NoErr(first.Close())
 	reached = false
 	_, result = c.open(t.Context(), Target{})
