--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -220,7 +220,7 @@
 			}
 			h := open[rapid.IntRange(0, len(open)-1).Draw(t, "holder")]
 			n := int64(rapid.IntRange(1, most/4).Draw(t, "bytes"))
-			switch rapid.IntRange(0, 5).Draw(t, "call") {
+			switch rapid.IntRange(0, 6).Draw(t, "call") {
 			case 0, 1:
 				before := h.held
 				if err := h.Reserve(n); (err == nil) != (h.held == before+n) {
@@ -234,12 +234,14 @@
 			case 4:
 				h.Reset()
 				serving[h] = false
+			case 5:
+				_ = h.Keep(n / 8)
 			default:
 				h.Close()
 			}
 			var used, leaving int64
 			for _, h := range open {
-				if h.held < 0 || h.ended && h.held != 0 {
+				if h.held < h.kept || h.ended && h.held != 0 {
 					t.Fatalf("a holder has %d bytes", h.held)
 				}
 				if h.evicted {
