serve: Test that a request without memory is not handled; leave WithTimeouts out

The refusal of a request (503, Retry-After) had no test; without the charge for its answer the new one fails. WithTimeouts had callers in tests only, which call WithLimits without limits now.

--- a/internal/serve/limits_test.go
+++ b/internal/serve/limits_test.go
@@ -97,6 +97,20 @@
 	is.True(c.takeHead([]byte("GET / HTTP/1.1\r\n")))
 }
 
+// Guards against: a request is handled although there is no memory for its answer, or what it was refused stays reserved.
+func TestRequestWithoutMemoryRefused(t *testing.T) {
+	is := is.New(t)
+	a := &quota.Account{Max: 128 << 10, Now: clock.Now}
+	handled := make(chan struct{}, 1)
+	limits := Limits{Account: a, RequestBytes: 256 << 10}
+	addr := startLimited(t, limits, clock.Minute, func(http.ResponseWriter, *http.Request) { handled <- struct{}{} })
+	status, retry := statusOf(t, addr, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(retry)
+	is.Equal(len(handled), 0)
+	waitForUse(t, a, 0)
+}
+
 // Guards against: a request that was read together with the one before it is not charged for its head.
 func TestPipelinedHeadCharged(t *testing.T) {
 	is := is.New(t)
--- a/internal/serve/timeout.go
+++ b/internal/serve/timeout.go
@@ -20,12 +20,8 @@
 	Idle   clock.Millis // between two requests on a connection
 }
 
-// WithTimeouts lets the timeouts of a server change while it runs. It returns the listener that the server must use.
-func WithTimeouts(l net.Listener, server *http.Server, timeouts func() Timeouts) net.Listener {
-	return WithLimits(l, server, timeouts, Limits{})
-}
-
-// WithLimits is WithTimeouts for a server with limits on what its clients use. Its handler must be set before.
+// WithLimits lets the timeouts of a server change while it runs, and limits what its clients use. It returns the listener that the server
+// must use. The handler of the server must be set before.
 func WithLimits(l net.Listener, server *http.Server, timeouts func() Timeouts, limits Limits) net.Listener {
 	// The server sets read deadlines only if it has timeouts of its own; timeoutConn replaces the deadlines.
 	initial := timeouts()
--- a/internal/serve/timeout_test.go
+++ b/internal/serve/timeout_test.go
@@ -60,7 +60,7 @@
 		is.NoErr(out.SetReadDeadline(time.Now().Add(time.Minute)))
 		is.NoErr(out.SetReadDeadline(time.Time{}))
 	})}
-	go func() { _ = server.Serve(WithTimeouts(l, server, func() Timeouts { return *timeouts.Load() })) }()
+	go func() { _ = server.Serve(WithLimits(l, server, func() Timeouts { return *timeouts.Load() }, Limits{})) }()
 	t.Cleanup(func() { _ = server.Close() })
 
 	c, roundTrip := dial(t, l.Addr().String())
@@ -89,7 +89,7 @@
 	var timeouts atomic.Pointer[Timeouts]
 	timeouts.Store(&Timeouts{Header: 300, Idle: 400})
 	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
-	go func() { _ = server.Serve(WithTimeouts(l, server, func() Timeouts { return *timeouts.Load() })) }()
+	go func() { _ = server.Serve(WithLimits(l, server, func() Timeouts { return *timeouts.Load() }, Limits{})) }()
 	t.Cleanup(func() { _ = server.Close() })
 	c, roundTrip := dial(t, l.Addr().String())
 	is.NoErr(roundTrip())
--- a/internal/serve/unhandled_test.go
+++ b/internal/serve/unhandled_test.go
@@ -54,7 +54,7 @@
 			is.NoErr(err)
 			server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
 			go func() {
-				_ = server.Serve(WithTimeouts(l, server, func() Timeouts { return Timeouts{Header: 200, Idle: 200} }))
+				_ = server.Serve(WithLimits(l, server, func() Timeouts { return Timeouts{Header: 200, Idle: 200} }, Limits{}))
 			}()
 			defer func() { _ = server.Close() }()
 			conn, roundTrip := dial(t, l.Addr().String())
