--- a/internal/serve/limits_test.go
+++ b/internal/serve/limits_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
@@ -86,6 +88,30 @@
 	waitForUse(t, a, 0)
 }
 
+// Guards against: a limit on heads near the largest number overflows, and each head is refused.
+func TestLargestHeadLimit(t *testing.T) {
+	is := is.New(t)
+	server, client := net.Pipe()
+	defer func() { _ = client.Close() }()
+	c := &timeoutConn{Conn: server, limits: Limits{HeadBytes: func() int { return math.MaxInt }}}
+	defer func() { _ = server.Close() }()
+	is.True(c.takeHead([]byte("GET / HTTP/1.1\r\n")))
+}
+
+// Guards against: a request is handled although there is no memory for its answer, or what it was refused stays reserved.
+func TestRequestWithoutMemoryRefused(t *testing.T) {
+	is := is.New(t)
+	a := &quota.Account{Max: 128 << 10, Now: clock.Now}
+	handled := make(chan struct{}, 1)
+	limits := Limits{Account: a, RequestBytes: 256 << 10}
+	addr := startLimited(t, limits, clock.Minute, func(http.ResponseWriter, *http.Request) { handled <- struct{}{} })
+	status, retry := statusOf(t, addr, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(retry)
+	is.Equal(len(handled), 0)
+	waitForUse(t, a, 0)
+}
+
 // Guards against: a request that was read together with the one before it is not charged for its head.
 func TestPipelinedHeadCharged(t *testing.T) {
 	is := is.New(t)
@@ -163,6 +189,32 @@
 	waitForUse(t, a, 0) // silent ones are closed by the header timeout
 }
 
+// Guards against: a connection whose answer is not read keeps another one out, or one that is closed for another is counted as closed by
+// its caller.
+func TestClosedForOthers(t *testing.T) {
+	is := is.New(t)
+	a := &quota.Account{Now: clock.Now}
+	addr := startLimited(t, Limits{Account: a, Gate: &quota.Gate{Max: 1}}, clock.Minute, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			_, _ = w.Write(make([]byte, 64<<20)) // more than the buffers of a connection take
+		}
+	})
+	closed := metrics.GetOrCreateCounter(`pier_connections_closed_total{reason="files"}`)
+	before := closed.Get()
+	for _, text := range []string{"GET /long HTTP/1.1\r\nHost: a\r\n\r\n", ""} {
+		c, err := net.Dial("tcp", addr)
+		is.NoErr(err)
+		t.Cleanup(func() { _ = c.Close() })
+		_, err = io.WriteString(c, text)
+		is.NoErr(err)
+		time.Sleep(300 * time.Millisecond) // after which the answer counts as one that is not read
+	}
+	status, _ := statusOf(t, addr, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	is.Equal(status, http.StatusOK) // in place of the silent one, which had taken the place of the one that does not read
+	waitForUse(t, a, 0)
+	is.Equal(closed.Get(), before+1) // without a request: the silent one
+}
+
 // Guards against: the body of a request that its handler does not read is waited for without end.
 func TestUnreadBodyGivenUp(t *testing.T) {
 	is := is.New(t)
