board: Leave services without a cold rate unlimited in all choices

Cause: an entry or an answer with a cold time kept targets of a service whose cold_per_s is zero or absent from hedges, from helping with long prompts and from divided prompts, and gave them the cost of a start for the whole cold time, up to an hour. Change: these choices ask whether the rates of the target are limited (coldState.limited, set as the eligible targets are selected). Log line and counter of a cold target are left out for such services. limitCold reads the configuration only for targets that may be limited.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -302,7 +302,7 @@
 		switch {
 		case req.Exclude[s.ID]:
 			excluded = append(excluded, s)
-		case req.Hedge && now < s.cold.end():
+		case req.Hedge && s.cold.limited && now < s.cold.end():
 			cold = append(cold, s)
 		case s.usable(now) && inCell(s.ID):
 			usable = append(usable, s)
--- a/internal/board/cold.go
+++ b/internal/board/cold.go
@@ -98,7 +98,10 @@
 // startWeight returns the part of the additional cost of a target that has started, which keeps an empty target from attracting all
 // requests: 1 while it is cold, then less and less.
 func (c *coldState) startWeight(now clock.Millis) float64 {
-	from := max(c.startedAt, c.end())
+	from := c.startedAt
+	if c.limited {
+		from = max(from, c.end())
+	}
 	if from == 0 {
 		return 0
 	}
@@ -151,9 +154,9 @@
 	b.limitCold(now, s) // as of before the change: buckets that were not in use start empty
 	s.cold.until[source] = until
 	b.limitCold(now, s)
-	if !s.cold.announced {
+	b.coldNamed.Store(true)
+	if s.cold.limited && !s.cold.announced {
 		s.cold.announced = true
-		b.coldNamed.Store(true)
 		slog.Info("target cold", "target", s.ID, "source", coldSourceNames[source], "left_ms", int64(until-now))
 		metrics.GetOrCreateCounter(`pier_board_target_cold_total{source="` + coldSourceNames[source] + `"}`).Inc()
 	}
@@ -204,7 +207,7 @@
 			s.cold.announced = false
 			slog.Info("target warm", "target", id, "requests", s.runningCount())
 		}
-		cold = cold || s.cold.announced
+		cold = cold || now < s.cold.end()
 	}
 	b.coldNamed.Store(cold)
 }
@@ -212,11 +215,16 @@
 // limitCold sets the rates at which a target may get requests now, and reports whether they are limited as it is cold, or was until
 // lately, or might be. Buckets that come into use are empty: a former process of this instance may have sent what they would allow.
 func (b *Board) limitCold(now clock.Millis, s *targetState) bool {
-	rate, factor := b.coldRate(s.Service), s.cold.factor(now)
+	factor := s.cold.factor(now)
 	if factor == 0 && b.cell.uncertain(now) {
 		factor = 1
 	}
-	if rate.PerSecond <= 0 || factor == 0 {
+	if factor == 0 {
+		s.cold.limited = false
+		return false
+	}
+	rate := b.coldRate(s.Service)
+	if rate.PerSecond <= 0 {
 		s.cold.limited = false
 		return false
 	}
