board, relay, platform: Check requests to cold targets once their connection is open

Cause: the rate of a cold target was kept when requests were placed. Those that then waited for leases, a dial or a carrier were sent together, and those placed before their target became cold were sent without any limit. Change: Placement.MaySend is asked when the connection is open. Without them the attempt ends as relay.Withheld: nothing was sent, the request is placed anew without using up an attempt, and the target does not count as unreachable.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -348,6 +348,7 @@
 	b.ownRequests[r.Number] = &r
 	b.placedAt[r.Number] = now
 	b.addRequest(now, requestKey{b.Self, r.Number}, r)
+	p.limited = chosen.primary.cold.limited
 	b.pending.Placed = append(b.pending.Placed, r)
 	b.flush()
 	return p
--- a/internal/board/broadcast.go
+++ b/internal/board/broadcast.go
@@ -11,8 +11,8 @@
 
 // empty reports whether a datagram has no content.
 func (p packet) empty() bool {
-	return len(p.Placed)+len(p.FirstEvents)+len(p.Ended)+len(p.Failed)+len(p.Unreachable)+len(p.Probes)+len(p.Limits)+len(p.Leaving)+len(p.Doubted) == 0 &&
-		p.Cold == nil
+	return len(p.Placed)+len(p.FirstEvents)+len(p.Ended)+len(p.Failed)+len(p.Unreachable)+len(p.Probes)+len(p.Limits)+len(p.Leaving) == 0 &&
+		len(p.Doubted) == 0 && p.Cold == nil
 }
 
 // flush broadcasts the changes since the last flush.
--- a/internal/board/cold.go
+++ b/internal/board/cold.go
@@ -68,6 +68,7 @@
 	limited   bool                         // as of the last Board.limitCold: the buckets are in use
 	shared    bucket                       // of all instances that are heard
 	own       bucket                       // of this instance
+	sent      bucket                       // of what this instance has sent, see Placement.MaySend
 }
 
 // end returns the end of the cold time, or zero if the target never was cold.
@@ -207,7 +208,7 @@
 			s.cold.announced = false
 			slog.Info("target warm", "target", id, "requests", s.runningCount())
 		}
-		cold = cold || now < s.cold.end()
+		cold = cold || s.cold.factor(now) > 0
 	}
 	b.coldNamed.Store(cold)
 }
@@ -230,11 +231,13 @@
 	}
 	if !s.cold.limited {
 		s.cold.limited = true
-		s.cold.shared, s.cold.own = bucket{refilledAt: now}, bucket{refilledAt: now}
+		s.cold.shared, s.cold.own, s.cold.sent = bucket{refilledAt: now}, bucket{refilledAt: now}, bucket{refilledAt: now}
 	}
 	limit, _ := b.coldLimit()
 	s.cold.shared.set(now, factor*rate.PerSecond, max(1, limit.Slack))
-	s.cold.own.set(now, factor*limit.share(rate.PerSecond, b.cell.size(now)), 1)
+	part := factor * limit.share(rate.PerSecond, b.cell.size(now))
+	s.cold.own.set(now, part, 1)
+	s.cold.sent.set(now, part, 1)
 	return true
 }
 
--- a/internal/board/placement.go
+++ b/internal/board/placement.go
@@ -27,6 +27,7 @@
 
 	board    *Board
 	number   uint64        // see ActiveRequest.Number
+	limited  bool          // it took a token of a cold target, see MaySend
 	down     chan struct{} // see TargetDown
 	downOnce sync.Once
 	lost     chan struct{} // see LinkLost
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -66,14 +66,14 @@
 }
 
 // sent reports whether the target may have got the request, given the error of send.
-func sent(err error) bool { return err == nil || KindOf(err) != NotSent }
+func sent(err error) bool { return err == nil || !KindOf(err).provesNotSent() }
 
 // followUp says what may follow an attempt that has not answered the request.
 type followUp uint8
 
 const (
 	noFollowUp       followUp = iota // the request is not sent again
-	freeFollowUp                     // another target may be tried, as this one was not reached
+	freeFollowUp                     // another target may be tried, as this one has got nothing
 	budgetedFollowUp                 // another target may be tried if the budget allows
 )
 
@@ -216,8 +216,13 @@
 		kind, ctx = why, s.ctx
 	}
 	s.logFailure(a, kind, err)
-	if kind == NotSent {
+	switch kind {
+	case NotSent:
 		return s.handleNotSent(a)
+	case Withheld:
+		a.placement.End(board.Inconclusive)
+		countFailedAttempt(string(kind))
+		return "", freeFollowUp
 	}
 	s.mayHaveRun = true
 	if ctx.Err() != nil {
--- a/internal/relay/error.go
+++ b/internal/relay/error.go
@@ -8,6 +8,7 @@
 // The kinds of failure.
 const (
 	NotSent        ErrorKind = "untouched" // the target was not reached, so it has not run the request
+	Withheld       ErrorKind = "withheld"  // the target is cold and may get no request now, so it has got nothing of this one
 	Broken         ErrorKind = "broken"    // the connection failed, or the answer ended early or could not be read
 	Mismatched     ErrorKind = "foreign"   // the answer belongs to another request or to no target, or an event is out of sequence
 	NotRunUnproven ErrorKind = "unproven"  // a status such as 503, without the statement that the request has not run
@@ -15,6 +16,9 @@
 	MemoryIdle     ErrorKind = "idle"      // the target sent nothing, and the memory that was leased was not used
 )
 
+// provesNotSent reports whether a target whose attempt has failed so has got nothing of the request.
+func (k ErrorKind) provesNotSent() bool { return k == NotSent || k == Withheld }
+
 // Error is a failed attempt.
 type Error struct {
 	Op   string
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -133,9 +133,9 @@
 		}
 		return
 	}
-	w.mayHaveRun = w.mayHaveRun || kind != NotSent
+	w.mayHaveRun = w.mayHaveRun || !kind.provesNotSent()
 	switch {
-	case hedge.ctx.Err() != nil:
+	case hedge.ctx.Err() != nil, kind == Withheld:
 		p.End(board.Inconclusive)
 	case kind == NotSent:
 		p.End(board.Unreachable)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,7 +36,8 @@
 	// Place selects the targets of one attempt.
 	Place func(n board.Requirements) (*board.Placement, error)
 	// Send sends a request to the target of a placement and returns once the header of the answer has arrived; lastEventID
-	// is the id of the last event that the caller has received.
+	// is the id of the last event that the caller has received. It fails with Withheld if the placement may not be sent any more when the
+	// connection to the target is open.
 	Send func(ctx context.Context, r Request, p *board.Placement, lastEventID int) (*Answer, error)
 	// Tickets reserves memory on helpers for prompts that are too large for one engine.
 	Tickets *ticket.Manager
