board: End by a zero entry what others told of the former entry

Cause: instances told the cold times of entries and answers in one number, so that an entry which became zero could not end what others had told of the former one. A target whose entry was zero again stayed limited for the whole former time, up to an hour, in every cell of more than one instance. Change: TargetCold has an additional field for the time by the entry, and the time told by answers is kept apart. A zero entry ends the former, unless it was told within the last 500 ms (coldState.finishTold, also used for the end that an instance tells).

--- a/internal/board/cold.go
+++ b/internal/board/cold.go
@@ -51,13 +51,14 @@
 	fromEntry      coldSource = iota // the target's entry in the list
 	fromAnswer                       // an answer of the target
 	fromReturn                       // its zone is no longer evacuated
-	entryOfOther                     // another instance, from the target's entry or answer
+	entryOfOther                     // another instance, from the target's entry
+	answerOfOther                    // another instance, from an answer of the target
 	returnOfOther                    // another instance, from the end of an evacuation
 	numColdSources                   // number of sources
 )
 
 // coldSourceNames are the sources in logs and metrics.
-var coldSourceNames = [numColdSources]string{"entry", "answer", "return", "other", "return_other"}
+var coldSourceNames = [numColdSources]string{"entry", "answer", "return", "entry_other", "answer_other", "return_other"}
 
 // coldState is what this instance knows of a target that is cold, or was, and of its start.
 type coldState struct {
@@ -96,6 +97,13 @@
 	return ended
 }
 
+// finishTold is finish for a word that may be older than what was told of the target just now, which then stays.
+func (c *coldState) finishTold(now clock.Millis, sources ...coldSource) {
+	if now-c.namedAt >= coldNewsMargin {
+		c.finish(now, sources...)
+	}
+}
+
 // startWeight returns the part of the additional cost of a target that has started, which keeps an empty target from attracting all
 // requests: 1 while it is cold, then less and less.
 func (c *coldState) startWeight(now clock.Millis) float64 {
@@ -175,6 +183,7 @@
 	}
 	if s.WarmupLeft == 0 {
 		s.cold.finish(now, fromEntry)
+		s.cold.finishTold(now, entryOfOther)
 	}
 	b.limitCold(now, s)
 	if b.prolongCold(now, s, fromEntry, s.WarmupLeft) {
@@ -192,7 +201,7 @@
 		}
 		return
 	}
-	if n.AskedAt > s.cold.namedAt && s.cold.finish(now, fromEntry, fromAnswer, entryOfOther) {
+	if n.AskedAt > s.cold.namedAt && s.cold.finish(now, fromEntry, fromAnswer, entryOfOther, answerOfOther) {
 		change := s.told(now)
 		change.Ended = true
 		b.tellCold(change)
--- a/internal/board/cold_test.go
+++ b/internal/board/cold_test.go
@@ -387,6 +387,7 @@
 		{Target: "plain-0", Born: 1, Left: -1}, {Target: "plain-0", Born: 1, Left: math.MinInt64}, {Target: "plain-0", Born: 1, Left: math.MaxInt64},
 		{Target: "plain-0", Born: 1, Returned: math.MaxInt64}, {Target: "plain-0", Born: 1, Returned: -5, Left: -5}, {Target: "none", Left: 5000},
 		{Target: "plain-0", Born: 7, Left: 5000}, {Target: "plain-0", Born: 1, Ended: true, Left: math.MinInt64}, {},
+		{Target: "plain-0", Born: 1, Entry: math.MaxInt64}, {Target: "plain-0", Born: 1, Entry: math.MinInt64},
 	} {
 		t.Run(fmt.Sprint(odd), func(t *testing.T) {
 			is := is.New(t)
--- a/internal/board/coldnews.go
+++ b/internal/board/coldnews.go
@@ -19,9 +19,10 @@
 type TargetCold struct {
 	Target   string       `cbor:"1,keyasint"`
 	Born     clock.Millis `cbor:"2,keyasint,omitempty"` // see Target.Born
-	Left     clock.Millis `cbor:"3,keyasint,omitempty"` // by its entry in the list and its answers
+	Left     clock.Millis `cbor:"3,keyasint,omitempty"` // by its answers
 	Returned clock.Millis `cbor:"4,keyasint,omitempty"` // the same by the end of an evacuation
 	Ended    bool         `cbor:"5,keyasint,omitempty"` // an answer has ended what its entry and answers gave
+	Entry    clock.Millis `cbor:"6,keyasint,omitempty"` // as Left, by its entry in the list
 }
 
 // coldNews is what an instance tells others of cold targets.
@@ -33,8 +34,8 @@
 // told returns what this instance tells of a target: what it has learned itself. If instances told each other's word, they would
 // prolong it each time by the delay of the network.
 func (s *targetState) told(now clock.Millis) TargetCold {
-	left := max(s.cold.until[fromEntry], s.cold.until[fromAnswer]) - now
-	return TargetCold{Target: s.ID, Born: s.Born, Left: max(0, left), Returned: max(0, s.cold.until[fromReturn]-now)}
+	left := func(source coldSource) clock.Millis { return max(0, s.cold.until[source]-now) }
+	return TargetCold{Target: s.ID, Born: s.Born, Left: left(fromAnswer), Returned: left(fromReturn), Entry: left(fromEntry)}
 }
 
 // tellCold broadcasts a change of a target's cold time with the next flush, or at once if a datagram is full.
@@ -59,7 +60,7 @@
 	news := coldNews{All: all}
 	for _, s := range b.targets {
 		told := s.told(now)
-		if told.Left+told.Returned == 0 || !all && s.cold.until[fromAnswer] <= now {
+		if told.Left+told.Returned+told.Entry == 0 || !all && told.Left == 0 {
 			continue
 		}
 		if len(news.Targets) == maxPacketRequests {
@@ -88,13 +89,15 @@
 	if s == nil || s.Born != t.Born {
 		return
 	}
-	if t.Left < 0 || t.Returned < 0 || max(t.Left, t.Returned) > maxColdTime {
-		slog.Info("cold time of a target out of range", "target", t.Target, "left_ms", int64(t.Left), "returned_ms", int64(t.Returned))
+	if min(t.Left, t.Returned, t.Entry) < 0 || max(t.Left, t.Returned, t.Entry) > maxColdTime {
+		slog.Info("cold time of a target out of range", "target", t.Target, "left_ms", int64(t.Left), "returned_ms", int64(t.Returned),
+			"entry_ms", int64(t.Entry))
 		metrics.GetOrCreateCounter(`pier_board_cold_invalid_total`).Inc()
 	}
-	if t.Ended && now-s.cold.namedAt >= coldNewsMargin {
-		s.cold.finish(now, fromEntry, fromAnswer, entryOfOther)
+	if t.Ended {
+		s.cold.finishTold(now, fromEntry, fromAnswer, entryOfOther, answerOfOther)
 	}
 	b.prolongCold(now, s, returnOfOther, t.Returned)
-	b.prolongCold(now, s, entryOfOther, t.Left)
+	b.prolongCold(now, s, entryOfOther, t.Entry)
+	b.prolongCold(now, s, answerOfOther, t.Left)
 }
--- a/internal/board/fuzz_test.go
+++ b/internal/board/fuzz_test.go
@@ -17,7 +17,7 @@
 		FirstEvents: []firstEvent{{Number: 1, Age: 5}}, Ended: []uint64{1}, Failed: []string{"engine-0"}, Unreachable: []string{"plain-0"},
 		Probes: []ProbeResult{{Target: "engine-0", Slowdown: 2}}, Limits: []TargetLimit{{Target: "engine-1"}},
 		Leaving: []TargetLeaving{{Target: "engine-2", Born: 1}}, Doubted: []TargetDoubt{{Target: "engine-3", Left: 100}},
-		Cold: &coldNews{Targets: []TargetCold{{Target: "plain-0", Left: 100, Returned: 5}, {Target: "plain-1", Ended: true}}, All: true},
+		Cold: &coldNews{Targets: []TargetCold{{Target: "plain-0", Left: 100, Returned: 5, Entry: 7}, {Target: "plain-1", Ended: true}}, All: true},
 	})
 	if err != nil {
 		f.Fatal(err)
