--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -326,7 +326,7 @@
 			doubtful = append(doubtful, s)
 		case req.Exclude[s.ID]:
 			excluded = append(excluded, s)
-		case req.Hedge && now < s.cold.end():
+		case req.Hedge && s.cold.limited && now < s.cold.end():
 			cold = append(cold, s)
 		case s.usable(now) && inCell(s.ID):
 			usable = append(usable, s)
@@ -372,6 +372,7 @@
 	b.ownRequests[r.Number] = &r
 	b.placedAt[r.Number] = now
 	b.addRequest(now, requestKey{b.Self, r.Number}, r)
+	p.limited = chosen.primary.cold.limited
 	b.pending.Placed = append(b.pending.Placed, r)
 	b.flush()
 	return p
--- a/internal/board/cold.go
+++ b/internal/board/cold.go
@@ -51,13 +51,14 @@
 	fromEntry      coldSource = iota // the target's entry in the list
 	fromAnswer                       // an answer of the target
 	fromReturn                       // its zone is no longer evacuated
-	entryOfOther                     // another instance, from the target's entry or answer
+	entryOfOther                     // another instance, from the target's entry
+	answerOfOther                    // another instance, from an answer of the target
 	returnOfOther                    // another instance, from the end of an evacuation
 	numColdSources                   // number of sources
 )
 
 // coldSourceNames are the sources in logs and metrics.
-var coldSourceNames = [numColdSources]string{"entry", "answer", "return", "other", "return_other"}
+var coldSourceNames = [numColdSources]string{"entry", "answer", "return", "entry_other", "answer_other", "return_other"}
 
 // coldState is what this instance knows of a target that is cold, or was, and of its start.
 type coldState struct {
@@ -68,6 +69,7 @@
 	limited   bool                         // as of the last Board.limitCold: the buckets are in use
 	shared    bucket                       // of all instances that are heard
 	own       bucket                       // of this instance
+	sent      bucket                       // of what this instance has sent, see Placement.MaySend
 }
 
 // end returns the end of the cold time, or zero if the target never was cold.
@@ -95,10 +97,20 @@
 	return ended
 }
 
+// finishTold is finish for a word that may be older than what was told of the target just now, which then stays.
+func (c *coldState) finishTold(now clock.Millis, sources ...coldSource) {
+	if now-c.namedAt >= coldNewsMargin {
+		c.finish(now, sources...)
+	}
+}
+
 // startWeight returns the part of the additional cost of a target that has started, which keeps an empty target from attracting all
 // requests: 1 while it is cold, then less and less.
 func (c *coldState) startWeight(now clock.Millis) float64 {
-	from := max(c.startedAt, c.end())
+	from := c.startedAt
+	if c.limited {
+		from = max(from, c.end())
+	}
 	if from == 0 {
 		return 0
 	}
@@ -151,9 +163,9 @@
 	b.limitCold(now, s) // as of before the change: buckets that were not in use start empty
 	s.cold.until[source] = until
 	b.limitCold(now, s)
-	if !s.cold.announced {
+	b.coldNamed.Store(true)
+	if s.cold.limited && !s.cold.announced {
 		s.cold.announced = true
-		b.coldNamed.Store(true)
 		slog.Info("target cold", "target", s.ID, "source", coldSourceNames[source], "left_ms", int64(until-now))
 		metrics.GetOrCreateCounter(`pier_board_target_cold_total{source="` + coldSourceNames[source] + `"}`).Inc()
 	}
@@ -171,6 +183,7 @@
 	}
 	if s.WarmupLeft == 0 {
 		s.cold.finish(now, fromEntry)
+		s.cold.finishTold(now, entryOfOther)
 	}
 	b.limitCold(now, s)
 	if b.prolongCold(now, s, fromEntry, s.WarmupLeft) {
@@ -188,7 +201,7 @@
 		}
 		return
 	}
-	if n.AskedAt > s.cold.namedAt && s.cold.finish(now, fromEntry, fromAnswer, entryOfOther) {
+	if n.AskedAt > s.cold.namedAt && s.cold.finish(now, fromEntry, fromAnswer, entryOfOther, answerOfOther) {
 		change := s.told(now)
 		change.Ended = true
 		b.tellCold(change)
@@ -204,7 +217,7 @@
 			s.cold.announced = false
 			slog.Info("target warm", "target", id, "requests", s.runningCount())
 		}
-		cold = cold || s.cold.announced
+		cold = cold || s.cold.factor(now) > 0
 	}
 	b.coldNamed.Store(cold)
 }
@@ -212,21 +225,28 @@
 // limitCold sets the rates at which a target may get requests now, and reports whether they are limited as it is cold, or was until
 // lately, or might be. Buckets that come into use are empty: a former process of this instance may have sent what they would allow.
 func (b *Board) limitCold(now clock.Millis, s *targetState) bool {
-	rate, factor := b.coldRate(s.Service), s.cold.factor(now)
+	factor := s.cold.factor(now)
 	if factor == 0 && b.cell.uncertain(now) {
 		factor = 1
 	}
-	if rate.PerSecond <= 0 || factor == 0 {
+	if factor == 0 {
+		s.cold.limited = false
+		return false
+	}
+	rate := b.coldRate(s.Service)
+	if rate.PerSecond <= 0 {
 		s.cold.limited = false
 		return false
 	}
 	if !s.cold.limited {
 		s.cold.limited = true
-		s.cold.shared, s.cold.own = bucket{refilledAt: now}, bucket{refilledAt: now}
+		s.cold.shared, s.cold.own, s.cold.sent = bucket{refilledAt: now}, bucket{refilledAt: now}, bucket{refilledAt: now}
 	}
 	limit, _ := b.coldLimit()
 	s.cold.shared.set(now, factor*rate.PerSecond, max(1, limit.Slack))
-	s.cold.own.set(now, factor*limit.share(rate.PerSecond, b.cell.size(now)), 1)
+	part := factor * limit.share(rate.PerSecond, b.cell.size(now))
+	s.cold.own.set(now, part, 1)
+	s.cold.sent.set(now, part, 1)
 	return true
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -79,7 +79,7 @@
 
 const (
 	noFollowUp       followUp = iota // the request is not sent again
-	freeFollowUp                     // another target may be tried, as this one was not reached
+	freeFollowUp                     // another target may be tried, as this one has got nothing
 	placedAnew                       // the request is placed once more, as its target was evacuated before it was sent
 	budgetedFollowUp                 // another target may be tried if the budget allows
 )
@@ -238,6 +238,10 @@
 		a.placement.End(board.Inconclusive)
 		countFailedAttempt(string(kind))
 		return "", placedAnew
+	case Withheld:
+		a.placement.End(board.Inconclusive)
+		countFailedAttempt(string(kind))
+		return "", freeFollowUp
 	}
 	s.mayHaveRun = true
 	if ctx.Err() != nil {
--- a/internal/relay/error.go
+++ b/internal/relay/error.go
@@ -9,6 +9,7 @@
 const (
 	NotSent         ErrorKind = "untouched" // the target was not reached, so it has not run the request
 	TargetEvacuated ErrorKind = "evacuated" // the zone of the target, or of a helper, was evacuated before the request was sent
+	Withheld        ErrorKind = "withheld"  // the target is cold and may get no request now, so it has got nothing of this one
 	Broken          ErrorKind = "broken"    // the connection failed, or the answer ended early or could not be read
 	Mismatched      ErrorKind = "foreign"   // the answer belongs to another request or to no target, or an event is out of sequence
 	NotRunUnproven  ErrorKind = "unproven"  // a status such as 503, without the statement that the request has not run
@@ -17,7 +18,7 @@
 )
 
 // provesNotSent reports whether a target whose attempt has failed so has got nothing of the request.
-func (k ErrorKind) provesNotSent() bool { return k == NotSent || k == TargetEvacuated }
+func (k ErrorKind) provesNotSent() bool { return k == NotSent || k == TargetEvacuated || k == Withheld }
 
 // Error is a failed attempt.
 type Error struct {
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -135,7 +135,7 @@
 	}
 	w.mayHaveRun = w.mayHaveRun || !kind.provesNotSent()
 	switch {
-	case hedge.ctx.Err() != nil, kind == TargetEvacuated:
+	case hedge.ctx.Err() != nil, kind == TargetEvacuated, kind == Withheld:
 		p.End(board.Inconclusive)
 	case kind == NotSent:
 		p.End(board.Unreachable)
