queue, relay: Keep requests that avoid targets from delaying others

A request that waits after a failed attempt avoids the target of that attempt. It came first in its line, and as there was no room for it, requests that this target could take waited behind it until its longest wait ended. Such requests now form lines of their own.

Measured: TestExcludedTargetDelaysNoOther failed before (refused after 1 s), and passes with -race.

--- a/internal/queue/entry.go
+++ b/internal/queue/entry.go
@@ -26,8 +26,9 @@
 
 // Need says what a request needs room for.
 type Need struct {
-	Service string
-	Tokens  int // of the prompt and the answer; zero for a plain service
+	Service   string
+	Tokens    int  // of the prompt and the answer; zero for a plain service
+	Excluding bool // targets are excluded, so that there may be room for others when there is none for it
 }
 
 // Entry is a request that waits for room.
--- a/internal/queue/line.go
+++ b/internal/queue/line.go
@@ -18,12 +18,15 @@
 
 // lineKey identifies a line.
 type lineKey struct {
-	service string
-	size    int
+	service   string
+	size      int
+	excluding bool
 }
 
 // key returns the line for a need.
-func (n Need) key() lineKey { return lineKey{n.Service, bits.Len(uint(max(0, n.Tokens))) / sizeStep} }
+func (n Need) key() lineKey {
+	return lineKey{n.Service, bits.Len(uint(max(0, n.Tokens))) / sizeStep, n.Excluding}
+}
 
 // line holds the entries of one service that need about the same room: if there is none for the first one, there is none for the others.
 type line struct {
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -20,7 +20,7 @@
 
 // newEntry returns an entry whose wait begins now, of a prompt whose size gives the class.
 func newEntry(now clock.Millis, tokens, priority int, customer string, longest clock.Millis) *Entry {
-	return &Entry{Need: Need{"models", tokens}, Customer: customer, Priority: priority, Arrived: now, Since: now, Longest: longest}
+	return &Entry{Need: Need{Service: "models", Tokens: tokens}, Customer: customer, Priority: priority, Arrived: now, Since: now, Longest: longest}
 }
 
 // mustJoin adds an entry after a failed try, and fails the test if it is refused.
@@ -151,10 +151,10 @@
 	is := is.New(t)
 	q := newQueue(256)
 	mustJoin(t, q, 0, newEntry(0, 300_000, 0, "a", 500))
-	is.True(q.Occupied(Need{"models", 250_000}))
-	is.True(!q.Occupied(Need{"models", 5000}))
-	is.True(!q.Occupied(Need{"desk", 300_000}))
-	is.True(!q.Occupied(Need{"models", -7}))
+	is.True(q.Occupied(Need{Service: "models", Tokens: 250_000}))
+	is.True(!q.Occupied(Need{Service: "models", Tokens: 5000}))
+	is.True(!q.Occupied(Need{Service: "desk", Tokens: 300_000}))
+	is.True(!q.Occupied(Need{Service: "models", Tokens: -7}))
 	short := newEntry(1, 5000, 0, "a", 37)
 	mustJoin(t, q, 1, short)
 	q.Signal("models")
@@ -235,7 +235,7 @@
 	q := newQueue(256)
 	seed := 0
 	q.Random = func() float64 { seed++; return float64(seed*37%100) / 100 }
-	need := Need{"models", 5000}
+	need := Need{Service: "models", Tokens: 5000}
 	for range 20 {
 		mustJoin(t, q, 0, newEntry(0, 5000, 0, "a", 4000))
 	}
--- a/internal/queue/random_test.go
+++ b/internal/queue/random_test.go
@@ -139,7 +139,7 @@
 					if !c.hasty {
 						c.next = now + 300
 					}
-				case c.entry == nil && now >= c.next && !q.Occupied(Need{"models", 5000}) && tokens > 0:
+				case c.entry == nil && now >= c.next && !q.Occupied(Need{Service: "models", Tokens: 5000}) && tokens > 0:
 					tokens--
 					c.served++
 					c.next = now + 10
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -46,17 +46,19 @@
 
 // need returns what the request needs room for.
 func (s *requestState) need() queue.Need {
-	return queue.Need{Service: s.Service, Tokens: max(0, s.PromptTokens+s.MaxOutputTokens)}
+	return queue.Need{Service: s.Service, Tokens: max(0, s.PromptTokens+s.MaxOutputTokens), Excluding: len(s.exclude) > 0}
 }
 
 // entry returns the request as it joins the queue. Its longest wait is set when it first does so, and holds for all its attempts.
 func (s *requestState) entry() *queue.Entry {
 	now := clock.Now()
+	left := s.deadline() - now
 	if s.longestWait == 0 {
-		s.longestWait = s.relay.Room.Queue.Limits().LongestWait(s.FirstEventSLO, s.deadline()-now)
+		s.longestWait = s.relay.Room.Queue.Limits().LongestWait(s.FirstEventSLO, left)
 	}
 	return &queue.Entry{
-		Need: s.need(), Customer: s.Customer, Priority: s.Priority, Arrived: s.Arrived, Since: now - s.waited, Longest: s.longestWait,
+		Need: s.need(), Customer: s.Customer, Priority: s.Priority, Arrived: s.Arrived, Since: now - s.waited,
+		Longest: s.longestWait,
 	}
 }
 
--- a/internal/relay/wait_test.go
+++ b/internal/relay/wait_test.go
@@ -357,3 +357,29 @@
 	is.Equal(<-first, 0)
 	is.Equal(<-second, http.StatusOK)
 }
+
+// Pattern: a target turns a request away, and the others have no room. Guards against: further requests, for which there is room at that
+// target, wait until the first one gives up.
+func TestExcludedTargetDelaysNoOther(t *testing.T) {
+	is := is.New(t)
+	s := newWaitSite(t, 100, 256)
+	place := s.Place
+	s.Place = func(n board.Requirements) (*board.Placement, error) {
+		if len(n.Exclude) > 0 {
+			return nil, &board.Error{Op: "place", Kind: board.Full}
+		}
+		return place(n)
+	}
+	s.answer = func(r Request, _ int) (*Answer, error) {
+		if r.ID == "turned away" {
+			return answerNotRun(r, 0)
+		}
+		return answerDone(r, 0)
+	}
+	first := make(chan int, 1)
+	go func() { first <- s.serveTo(t.Context(), waitingRequest("turned away", Idempotent)) }()
+	s.waitFor(t, 1)
+	is.Equal(s.serveTo(t.Context(), waitingRequest("other", Idempotent)), http.StatusOK)
+	is.Equal(s.Room.length.Load(), int64(1)) // it was served while the first one waited
+	is.Equal(<-first, http.StatusServiceUnavailable)
+}
