--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -55,7 +55,7 @@
 		l.room, l.placedAt = false, now
 		l.recordFailure(now, e, cause, wait)
 	}
-	if max(now, l.earliest) > e.Until() {
+	if max(now+minInterval, l.earliest) > e.Until() {
 		return nil, &Error{Op: "join", Kind: TooLate}
 	}
 	q.number++
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -275,3 +275,16 @@
 	mustJoin(t, q, 2*clock.Minute, newEntry(2*clock.Minute, 5000, 0, "a", 500))
 	is.Equal(len(q.lines), 2)
 }
+
+// Guards against: a request that may hardly wait joins others between two tries of their line, and is refused without a try.
+func TestBriefWaitAmongOthers(t *testing.T) {
+	is := is.New(t)
+	q := newQueue(10)
+	mustJoin(t, q, 0, newEntry(0, 5000, 0, "a", 4000)) // tried by time at 500 ms
+	for _, longest := range []clock.Millis{0, 1, 24} {
+		_, err := q.Join(510, newEntry(510, 5000, 0, "a", longest), nil, 0)
+		is.Equal(kindOf(err), TooLate)
+	}
+	is.Equal(q.Len(), 1)
+	mustJoin(t, q, 510, newEntry(510, 5000, 0, "a", 25))
+}
