queue: Keep the entries of requests whose answers have begun

A stream that waits for another target lost its entry to a request that comes first when the queue was full, and its answer was cut.

Measured: TestBegunNotDisplaced failed before, and passes with -race.

--- a/internal/queue/entry.go
+++ b/internal/queue/entry.go
@@ -39,6 +39,7 @@
 	Arrived  clock.Millis // when the request arrived
 	Since    clock.Millis // when its wait began, less what it had waited before
 	Longest  clock.Millis // longest wait
+	Begun    bool         // part of the answer has been sent, so that it is not displaced
 
 	line   *line  // nil if it does not wait
 	number uint64 // in the order of joining
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -211,12 +211,12 @@
 	return slices.MinFunc(entries, func(a, b *Entry) int { return q.compare(now, a, b) })
 }
 
-// last returns the entry that comes last in the queue, but for one that is being tried; nil if there is none.
+// last returns the entry that comes last in the queue, but for one that is being tried and those that have begun; nil if there is none.
 func (q *Queue) last(now clock.Millis) *Entry {
 	var last *Entry
 	for _, l := range q.lines {
 		for _, e := range l.entries {
-			if e != q.turn && (last == nil || q.compare(now, e, last) > 0) {
+			if e != q.turn && !e.Begun && (last == nil || q.compare(now, e, last) > 0) {
 				last = e
 			}
 		}
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -288,3 +288,16 @@
 	is.Equal(q.Len(), 1)
 	mustJoin(t, q, 510, newEntry(510, 5000, 0, "a", 25))
 }
+
+// Guards against: an answer that has begun is cut because another request takes its entry in the full queue.
+func TestBegunNotDisplaced(t *testing.T) {
+	is := is.New(t)
+	q := newQueue(2)
+	begun, other := newEntry(1, 5000, 3, "a", 500), newEntry(0, 5000, 2, "a", 500)
+	begun.Begun = true
+	mustJoin(t, q, 1, begun)
+	mustJoin(t, q, 1, other)
+	displaced, err := q.Join(2, newEntry(2, 5000, 0, "a", 500), errCostly, 0)
+	is.NoErr(err)
+	is.Equal(displaced, other)
+}
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -58,7 +58,7 @@
 	}
 	return &queue.Entry{
 		Need: s.need(), Customer: s.Customer, Priority: s.Priority, Arrived: s.Arrived, Since: now - s.waited,
-		Longest: s.longestWait,
+		Longest: s.longestWait, Begun: s.responseStarted,
 	}
 }
 
