relay: Bound a second wait by the time left then

The longest wait was set when a request first waited. After a long attempt it could exceed a third of the time left, or the deadline, so that the caller was refused too late to return.

--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -49,7 +49,8 @@
 	return queue.Need{Service: s.Service, Tokens: max(0, s.PromptTokens+s.MaxOutputTokens), Excluding: len(s.exclude) > 0}
 }
 
-// entry returns the request as it joins the queue. Its longest wait is set when it first does so, and holds for all its attempts.
+// entry returns the request as it joins the queue. Its longest wait is set when it first does so, and holds for all its attempts; a later
+// wait ends sooner if it would exceed the allowed part of the time left by then.
 func (s *requestState) entry() *queue.Entry {
 	now := clock.Now()
 	left := s.deadline() - now
@@ -58,7 +59,7 @@
 	}
 	return &queue.Entry{
 		Need: s.need(), Customer: s.Customer, Priority: s.Priority, Arrived: s.Arrived, Since: now - s.waited,
-		Longest: s.longestWait, Begun: s.responseStarted,
+		Longest: min(s.longestWait, s.waited+left/queue.LeftParts), Begun: s.responseStarted,
 	}
 }
 
--- a/internal/relay/wait_test.go
+++ b/internal/relay/wait_test.go
@@ -383,3 +383,18 @@
 	is.Equal(s.Room.length.Load(), int64(1)) // it was served while the first one waited
 	is.Equal(<-first, http.StatusServiceUnavailable)
 }
+
+// Guards against: a request that waits again after an attempt exceeds a third of the time that it then has left.
+func TestSecondWaitWithinTimeLeft(t *testing.T) {
+	is := is.New(t)
+	s := newWaitSite(t, 0, 256)
+	state := &requestState{Request: waitingRequest("r", Idempotent), relay: s.Relay}
+	is.Equal(state.entry().Longest, clock.Second)
+	state.waited = 400
+	state.Deadline = clock.Now() + 600
+	e := state.entry()
+	is.True(e.Until() <= clock.Now()+200)
+	is.True(e.Until() > clock.Now()+100)
+	state.Deadline = clock.Now() + clock.Minute
+	is.True(state.entry().Until() <= clock.Now()+600) // what it has waited counts
+}
