relay: Count callers that go while they wait as such

The context of a request that may run again ends with that of its caller, and the counter and the log line said ended or caller_gone at random.

Measured: in TestGoneCallerCounted 17 and 19 of 40 were counted as ended before; none is now, with -race.

--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -103,7 +103,7 @@
 		case <-s.caller.Done(): // also that of a request that would run on without it
 			return nil, waitCallerGone, nil
 		case <-ctx.Done():
-			return nil, waitEnded, nil
+			return nil, s.endOfContext(), nil
 		case <-timer.C:
 			return nil, waitExpired, nil
 		case told := <-w.told:
@@ -121,10 +121,8 @@
 // takeTurn tries to place the request. The result is empty if there is still no room.
 func (s *requestState) takeTurn(ctx context.Context) (*board.Placement, waitResult, error) {
 	switch {
-	case s.caller.Err() != nil:
-		return nil, waitCallerGone, nil
-	case ctx.Err() != nil:
-		return nil, waitEnded, nil
+	case s.caller.Err() != nil, ctx.Err() != nil:
+		return nil, s.endOfContext(), nil
 	case s.barred():
 		return nil, waitBarred, nil
 	}
@@ -139,6 +137,14 @@
 	}
 }
 
+// endOfContext returns how the wait of a request ends whose context has ended. That of a caller that has gone ends both contexts.
+func (s *requestState) endOfContext() waitResult {
+	if s.caller.Err() != nil {
+		return waitCallerGone
+	}
+	return waitEnded
+}
+
 // barred reports whether the request may not be sent any more.
 func (s *requestState) barred() bool {
 	return s.deadline()-clock.Now() < minTimeLeft || s.relay.Blame.Suspected(s.blamed)
--- a/internal/relay/wait_test.go
+++ b/internal/relay/wait_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 
 	"github.com/corianderpier/corianderpier/internal/board"
@@ -398,3 +399,17 @@
 	state.Deadline = clock.Now() + clock.Minute
 	is.True(state.entry().Until() <= clock.Now()+600) // what it has waited counts
 }
+
+// Guards against: the end of a wait of a caller that has gone is counted as that of a deadline or a stop.
+func TestGoneCallerCounted(t *testing.T) {
+	is := is.New(t)
+	s := newWaitSite(t, 0, 256)
+	ended := metrics.GetOrCreateCounter(`pier_queue_left_total{reason="ended"}`)
+	before := ended.Get()
+	caller, leave := context.WithCancel(t.Context())
+	leave()
+	for range 40 {
+		is.Equal(s.serveTo(caller, waitingRequest("r", Idempotent)), 0)
+	}
+	is.Equal(ended.Get(), before)
+}
