--- a/internal/queue/entry.go
+++ b/internal/queue/entry.go
@@ -26,8 +26,9 @@
 
 // Need says what a request needs room for.
 type Need struct {
-	Service string
-	Tokens  int // of the prompt and the answer; zero for a plain service
+	Service   string
+	Tokens    int  // of the prompt and the answer; zero for a plain service
+	Excluding bool // targets are excluded, so that there may be room for others when there is none for it
 }
 
 // Entry is a request that waits for room.
@@ -38,6 +39,7 @@
 	Arrived  clock.Millis // when the request arrived
 	Since    clock.Millis // when its wait began, less what it had waited before
 	Longest  clock.Millis // longest wait
+	Begun    bool         // part of the answer has been sent, so that it is not displaced
 
 	line   *line  // nil if it does not wait
 	number uint64 // in the order of joining
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -20,7 +20,7 @@
 
 // newEntry returns an entry whose wait begins now, of a prompt whose size gives the class.
 func newEntry(now clock.Millis, tokens, priority int, customer string, longest clock.Millis) *Entry {
-	return &Entry{Need: Need{"models", tokens}, Customer: customer, Priority: priority, Arrived: now, Since: now, Longest: longest}
+	return &Entry{Need: Need{Service: "models", Tokens: tokens}, Customer: customer, Priority: priority, Arrived: now, Since: now, Longest: longest}
 }
 
 // mustJoin adds an entry after a failed try, and fails the test if it is refused.
@@ -151,10 +151,10 @@
 	is := is.New(t)
 	q := newQueue(256)
 	mustJoin(t, q, 0, newEntry(0, 300_000, 0, "a", 500))
-	is.True(q.Occupied(Need{"models", 250_000}))
-	is.True(!q.Occupied(Need{"models", 5000}))
-	is.True(!q.Occupied(Need{"desk", 300_000}))
-	is.True(!q.Occupied(Need{"models", -7}))
+	is.True(q.Occupied(Need{Service: "models", Tokens: 250_000}))
+	is.True(!q.Occupied(Need{Service: "models", Tokens: 5000}))
+	is.True(!q.Occupied(Need{Service: "desk", Tokens: 300_000}))
+	is.True(!q.Occupied(Need{Service: "models", Tokens: -7}))
 	short := newEntry(1, 5000, 0, "a", 37)
 	mustJoin(t, q, 1, short)
 	q.Signal("models")
@@ -235,7 +235,7 @@
 	q := newQueue(256)
 	seed := 0
 	q.Random = func() float64 { seed++; return float64(seed*37%100) / 100 }
-	need := Need{"models", 5000}
+	need := Need{Service: "models", Tokens: 5000}
 	for range 20 {
 		mustJoin(t, q, 0, newEntry(0, 5000, 0, "a", 4000))
 	}
@@ -275,3 +275,29 @@
 	mustJoin(t, q, 2*clock.Minute, newEntry(2*clock.Minute, 5000, 0, "a", 500))
 	is.Equal(len(q.lines), 2)
 }
+
+// Guards against: a request that may hardly wait joins others between two tries of their line, and is refused without a try.
+func TestBriefWaitAmongOthers(t *testing.T) {
+	is := is.New(t)
+	q := newQueue(10)
+	mustJoin(t, q, 0, newEntry(0, 5000, 0, "a", 4000)) // tried by time at 500 ms
+	for _, longest := range []clock.Millis{0, 1, 24} {
+		_, err := q.Join(510, newEntry(510, 5000, 0, "a", longest), nil, 0)
+		is.Equal(kindOf(err), TooLate)
+	}
+	is.Equal(q.Len(), 1)
+	mustJoin(t, q, 510, newEntry(510, 5000, 0, "a", 25))
+}
+
+// Guards against: an answer that has begun is cut because another request takes its entry in the full queue.
+func TestBegunNotDisplaced(t *testing.T) {
+	is := is.New(t)
+	q := newQueue(2)
+	begun, other := newEntry(1, 5000, 3, "a", 500), newEntry(0, 5000, 2, "a", 500)
+	begun.Begun = true
+	mustJoin(t, q, 1, begun)
+	mustJoin(t, q, 1, other)
+	displaced, err := q.Join(2, newEntry(2, 5000, 0, "a", 500), errCostly, 0)
+	is.NoErr(err)
+	is.Equal(displaced, other)
+}
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -46,17 +46,20 @@
 
 // need returns what the request needs room for.
 func (s *requestState) need() queue.Need {
-	return queue.Need{Service: s.Service, Tokens: max(0, s.PromptTokens+s.MaxOutputTokens)}
+	return queue.Need{Service: s.Service, Tokens: max(0, s.PromptTokens+s.MaxOutputTokens), Excluding: len(s.exclude) > 0}
 }
 
-// entry returns the request as it joins the queue. Its longest wait is set when it first does so, and holds for all its attempts.
+// entry returns the request as it joins the queue. Its longest wait is set when it first does so, and holds for all its attempts; a later
+// wait ends sooner if it would exceed the allowed part of the time left by then.
 func (s *requestState) entry() *queue.Entry {
 	now := clock.Now()
+	left := s.deadline() - now
 	if s.longestWait == 0 {
-		s.longestWait = s.relay.Room.Queue.Limits().LongestWait(s.FirstEventSLO, s.deadline()-now)
+		s.longestWait = s.relay.Room.Queue.Limits().LongestWait(s.FirstEventSLO, left)
 	}
 	return &queue.Entry{
-		Need: s.need(), Customer: s.Customer, Priority: s.Priority, Arrived: s.Arrived, Since: now - s.waited, Longest: s.longestWait,
+		Need: s.need(), Customer: s.Customer, Priority: s.Priority, Arrived: s.Arrived, Since: now - s.waited,
+		Longest: min(s.longestWait, s.waited+left/queue.LeftParts), Begun: s.responseStarted,
 	}
 }
 
@@ -100,7 +103,7 @@
 		case <-s.caller.Done(): // also that of a request that would run on without it
 			return nil, waitCallerGone, nil
 		case <-ctx.Done():
-			return nil, waitEnded, nil
+			return nil, s.endOfContext(), nil
 		case <-timer.C:
 			return nil, waitExpired, nil
 		case told := <-w.told:
@@ -118,10 +121,8 @@
 // takeTurn tries to place the request. The result is empty if there is still no room.
 func (s *requestState) takeTurn(ctx context.Context) (*board.Placement, waitResult, error) {
 	switch {
-	case s.caller.Err() != nil:
-		return nil, waitCallerGone, nil
-	case ctx.Err() != nil:
-		return nil, waitEnded, nil
+	case s.caller.Err() != nil, ctx.Err() != nil:
+		return nil, s.endOfContext(), nil
 	case s.barred():
 		return nil, waitBarred, nil
 	}
@@ -136,6 +137,14 @@
 	}
 }
 
+// endOfContext returns how the wait of a request ends whose context has ended. That of a caller that has gone ends both contexts.
+func (s *requestState) endOfContext() waitResult {
+	if s.caller.Err() != nil {
+		return waitCallerGone
+	}
+	return waitEnded
+}
+
 // barred reports whether the request may not be sent any more.
 func (s *requestState) barred() bool {
 	return s.deadline()-clock.Now() < minTimeLeft || s.relay.Blame.Suspected(s.blamed)
