board: Give repeated cold times the age of what was learned

Cause: each instance repeats every second until when a target is cold, and each repetition counted as a new word. Change: TargetCold.Age says how long ago the sender last learned itself that the target is cold; a word counts as of then. Without the field it counts as of its arrival, as before. Result: TestColdEndedWhileRepeated fails before and passes. go test -race -count=1 ./internal/board passes (8.9 s), 1,500 simulations of TestColdLimitForAnyViews and 10 s of FuzzReceive too.

--- a/internal/board/cold.go
+++ b/internal/board/cold.go
@@ -63,7 +63,8 @@
 // coldState is what this instance knows of a target that is cold, or was, and of its start.
 type coldState struct {
 	until     [numColdSources]clock.Millis // end of the cold time by source; zero if the source gave none
-	namedAt   clock.Millis                 // when a source last gave a cold time
+	namedAt   clock.Millis                 // when this instance or another last learned that it is cold
+	learnedAt clock.Millis                 // when this instance last did
 	announced bool                         // its cold time is logged, and its end is not
 	startedAt clock.Millis                 // when it was newly listed or returned; zero if it was there before this instance
 	limited   bool                         // as of the last Board.limitCold: the buckets are in use
@@ -156,7 +157,9 @@
 		return false
 	}
 	end, until := s.cold.end(), now+min(left, maxColdTime)
-	s.cold.namedAt = now
+	if source <= fromReturn {
+		s.cold.namedAt, s.cold.learnedAt = now, now
+	}
 	if until <= s.cold.until[source] {
 		return false
 	}
--- a/internal/board/coldnews.go
+++ b/internal/board/coldnews.go
@@ -23,6 +23,7 @@
 	Returned clock.Millis `cbor:"4,keyasint,omitempty"` // the same by the end of an evacuation
 	Ended    bool         `cbor:"5,keyasint,omitempty"` // an answer has ended what its entry and answers gave
 	Entry    clock.Millis `cbor:"6,keyasint,omitempty"` // as Left, by its entry in the list
+	Age      clock.Millis `cbor:"7,keyasint,omitempty"` // since the sender last learned itself that the target is cold
 }
 
 // coldNews is what an instance tells others of cold targets.
@@ -35,7 +36,9 @@
 // prolong it each time by the delay of the network.
 func (s *targetState) told(now clock.Millis) TargetCold {
 	left := func(source coldSource) clock.Millis { return max(0, s.cold.until[source]-now) }
-	return TargetCold{Target: s.ID, Born: s.Born, Left: left(fromAnswer), Returned: left(fromReturn), Entry: left(fromEntry)}
+	return TargetCold{
+		Target: s.ID, Born: s.Born, Left: left(fromAnswer), Returned: left(fromReturn), Entry: left(fromEntry), Age: now - s.cold.learnedAt,
+	}
 }
 
 // tellCold broadcasts a change of a target's cold time with the next flush, or at once if a datagram is full.
@@ -97,6 +100,9 @@
 	if t.Ended {
 		s.cold.finishTold(now, fromEntry, fromAnswer, entryOfOther, answerOfOther)
 	}
+	if max(t.Left, t.Returned, t.Entry) > 0 {
+		s.cold.namedAt = max(s.cold.namedAt, now-max(0, t.Age)) // what is repeated is no newer than when it was learned
+	}
 	b.prolongCold(now, s, returnOfOther, t.Returned)
 	b.prolongCold(now, s, entryOfOther, t.Entry)
 	b.prolongCold(now, s, answerOfOther, t.Left)
