board: Let engines that might be cold help, and bound the debt of others

Engines whose rates are limited helped nobody: for 3 s after their cold time, and after a restart all of them, so that no long prompt was divided. TestColdWorkerSpared failed at times, as placements of others that were not limited kept a target closed for up to 237 s.

What others have sent too much of counts for one second.

TestColdLimitForAnyViews passes 1,500 checks.

--- a/internal/board/bucket.go
+++ b/internal/board/bucket.go
@@ -39,6 +39,9 @@
 	k.tokens--
 }
 
+// limitDebt forgets what was taken beyond a number of missing tokens.
+func (k *bucket) limitDebt(most float64) { k.tokens = max(k.tokens, -most) }
+
 // wait returns the time until a request may be sent, if none is sent before; at most an hour.
 func (k *bucket) wait(now clock.Millis) clock.Millis {
 	if k.allows(now) {
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -122,7 +122,7 @@
 	if split {
 		partMemory = req.PromptTokens / parts
 		memory = partMemory + req.MaxOutputTokens
-		targets = warm(targets) // it waits for leases, so that several might be sent to a cold one at once
+		targets = warm(now, targets) // it waits for leases, so that several might be sent to a cold one at once
 	}
 	first := choosePrimary(now, req, targets, parts, memory, random)
 	if first == nil || split && parts < 2 {
@@ -140,9 +140,9 @@
 	return result
 }
 
-// warm returns the targets whose rates are not limited as they are cold, were until lately, or might be.
-func warm(targets []*targetState) []*targetState {
-	return slices.DeleteFunc(slices.Clone(targets), func(s *targetState) bool { return s.cold.limited })
+// warm returns the targets that are not known to be cold.
+func warm(now clock.Millis, targets []*targetState) []*targetState {
+	return slices.DeleteFunc(slices.Clone(targets), func(s *targetState) bool { return s.cold.isCold(now) })
 }
 
 // choosePrimary returns the cheapest engine with enough free memory, or nil. It chooses at random among the cheapest engines
@@ -173,11 +173,12 @@
 }
 
 // rankHelpers returns the engines other than first with enough free memory for a part, the cheapest ones first. An engine
-// that names a rate limit, or whose rates are limited as it is cold, was until lately or might be, helps nobody.
+// that names a rate limit or is cold helps nobody. One whose rates are limited since it was cold until lately, or might be, helps like
+// any other: after a restart, those are all engines.
 func rankHelpers(now clock.Millis, req Requirements, targets []*targetState, parts, memory int, first *targetState) []candidate {
 	candidates := make([]candidate, 0, len(targets))
 	for _, s := range targets {
-		if s != first && !s.limit.named && !s.cold.limited && s.hasMemory(memory) {
+		if s != first && !s.limit.named && !s.cold.isCold(now) && s.hasMemory(memory) {
 			candidates = append(candidates, s.evaluate(now, req, parts, true))
 		}
 	}
--- a/internal/board/cold.go
+++ b/internal/board/cold.go
@@ -14,6 +14,7 @@
 	maxColdTime    = clock.Hour             // for which a target may be cold; a longer time counts as this
 	coldRampTime   = 3 * clock.Second       // after the cold time, in each second of which the rates double
 	coldSettleTime = 1500 * clock.Millis(1) // after this instance has joined: by then the others know it and have told which targets are cold
+	coldDebtTime   = clock.Second           // after which requests that others have sent too many of delay none any more: the bound is on one second
 	coldMinWait    = 300 * clock.Millis(1)  // after which a caller may try again that found only cold targets
 	coldNewsMargin = 500 * clock.Millis(1)  // by which a cold time must be prolonged to be news, as its end is known only up to the delay of answers
 	slowStartTime  = 3 * clock.Second       // from a target's start or return, in which its additional cost decays
@@ -76,6 +77,9 @@
 // end returns the end of the cold time, or zero if the target never was cold.
 func (c *coldState) end() clock.Millis { return slices.Max(c.until[:]) }
 
+// isCold reports whether the target is cold as of the last Board.limitCold, with rates that are limited for that.
+func (c *coldState) isCold(now clock.Millis) bool { return c.limited && now < c.end() }
+
 // factor returns the multiple of the rates of the cold time that the target bears now; zero if it is not limited.
 func (c *coldState) factor(now clock.Millis) float64 {
 	switch end := c.end(); {
@@ -288,6 +292,7 @@
 		return
 	}
 	s.cold.shared.take(now)
+	s.cold.shared.limitDebt(s.cold.shared.rate * coldDebtTime.Seconds())
 	if own {
 		s.cold.own.take(now)
 	}
