share: Account for the use of customers and compute fair shares

The property tests failed first on sums of weights of very different size (differences lost all digits: a level of -1.8e16), and on a customer without use yet, which counted as within its share beside one that used everything. Both are mended. go test -race ./internal/share passes, also without -race with 1,000 checks a property.

--- /dev/null
+++ b/internal/share/ledger.go
@@ -0,0 +1,184 @@
+package share
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+)
+
+// Window is the time constant of the decay of use.
+const Window = 2 * clock.Second
+
+const (
+	maxCustomers  = 1024                 // that are remembered; the one with the least use is dropped for a new one
+	maxAmount     = 1e6                  // of one use; a larger one counts as this one
+	minUse        = 1e-3                 // of all customers together, below which nothing counts as used
+	activeShare   = 1e-4                 // of the whole use: a customer with less is not active
+	levelValidity = 10 * clock.Millis(1) // for which a computed level is used again
+	minFactor     = 0.25                 // of a price
+	maxFactor     = 4.0                  // of a price
+
+	// demandFactor is the multiple of its use that a customer is taken to demand. With 1, a customer that crowds out the others
+	// would be entitled to all that it has taken; with 1.5, customers that use a little more than an equal part pay as well.
+	demandFactor = 1.25
+	// factorPower is the power of the excess that makes the factor. With 2, a customer with most of the use, which can exceed its
+	// share by a fifth only, pays too little for the others to keep their service.
+	factorPower = 3
+)
+
+// Ledger is the use of one service by its customers. The zero value is ready for use.
+type Ledger struct {
+	accounts map[Customer]*account
+	cached   level
+}
+
+// account is the use of one customer.
+type account struct {
+	customer Customer
+	weight   Weight
+	use      float64 // decayed to the time at
+	at       clock.Millis
+}
+
+// level is the fair share of a customer of weight 1, as it was computed.
+type level struct {
+	use       float64 // zero if fewer than two customers are active
+	activeUse float64 // use above which a customer is active
+	at        clock.Millis
+	capacity  float64 // for which it was computed
+}
+
+// Record adds a use of some age. A weight that is not valid, as the zero one, leaves that of the customer as it is.
+func (l *Ledger) Record(now, age clock.Millis, c Customer, weight Weight, amount float64) {
+	if !(amount >= 0) || age < 0 { // also if the amount is NaN
+		return
+	}
+	a := l.account(now, c)
+	if weight.valid() {
+		a.weight = weight
+	}
+	a.use = a.decayed(now) + decay(min(amount, maxAmount), age)
+	a.at = max(a.at, now)
+}
+
+// Factor returns the factor by which the price of a customer is multiplied: above 1 if its use exceeds its fair share, and below 1
+// if it has a part of the share left. See Excess for the arguments.
+func (l *Ledger) Factor(now clock.Millis, c Customer, weight Weight, capacity float64) float64 {
+	return min(max(math.Pow(l.Excess(now, c, weight, capacity), factorPower), minFactor), maxFactor)
+}
+
+// Excess returns the use of a customer as a multiple of its fair share. The capacity is what the service can do within Window; all
+// use together counts as the capacity if it is smaller. The result is 1 if no other customer is active. A weight that is not valid
+// stands for that of the customer's last use.
+func (l *Ledger) Excess(now clock.Millis, c Customer, weight Weight, capacity float64) float64 {
+	level := l.level(now, capacity)
+	a := l.accounts[c]
+	switch {
+	case level.activeUse == 0:
+		return 1 // nothing is used
+	case a == nil:
+		return 0
+	case level.use > 0 && weight.valid():
+		return a.decayed(now) / (level.use * float64(weight))
+	case level.use > 0:
+		return a.decayed(now) / (level.use * float64(a.weight))
+	case a.decayed(now) > level.activeUse:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// decayed returns the use as of now. A use that was recorded for a later time counts as of that time.
+func (a *account) decayed(now clock.Millis) float64 { return decay(a.use, max(0, now-a.at)) }
+
+// decay returns what is left of a use after some time.
+func decay(use float64, age clock.Millis) float64 {
+	return use * math.Exp(-float64(age)/float64(Window))
+}
+
+// account returns the account of a customer. If there are too many, it opens one in place of that with the least use.
+func (l *Ledger) account(now clock.Millis, c Customer) *account {
+	if a := l.accounts[c]; a != nil {
+		return a
+	}
+	if l.accounts == nil {
+		l.accounts = make(map[Customer]*account)
+	}
+	if len(l.accounts) >= maxCustomers {
+		l.dropLeast(now)
+	}
+	a := &account{customer: c, weight: 1, at: now}
+	l.accounts[c] = a
+	return a
+}
+
+// dropLeast closes the account with the least use.
+func (l *Ledger) dropLeast(now clock.Millis) {
+	var least *account
+	for _, a := range l.accounts {
+		if least == nil || a.decayed(now) < least.decayed(now) {
+			least = a
+		}
+	}
+	delete(l.accounts, least.customer)
+}
+
+// level returns the fair share of a customer of weight 1.
+func (l *Ledger) level(now clock.Millis, capacity float64) level {
+	age := now - l.cached.at
+	if age < 0 || age >= levelValidity || capacity != l.cached.capacity {
+		l.cached = l.divide(now, capacity)
+	}
+	return l.cached
+}
+
+// divide divides the capacity among the active customers.
+func (l *Ledger) divide(now clock.Millis, capacity float64) level {
+	result := level{at: now, capacity: capacity}
+	total := 0.0
+	for _, a := range l.accounts {
+		total += a.decayed(now)
+	}
+	if total < minUse {
+		return result
+	}
+	result.activeUse = activeShare * total
+	claims := make([]claim, 0, len(l.accounts))
+	for _, a := range l.accounts {
+		if use := a.decayed(now); use > result.activeUse {
+			claims = append(claims, claim{weight: float64(a.weight), demand: demandFactor * use})
+		}
+	}
+	if len(claims) >= 2 {
+		result.use = maxMinLevel(claims, min(total, capacity))
+	}
+	return result
+}
+
+// claim is what one customer demands of a capacity.
+type claim struct {
+	weight float64
+	demand float64
+}
+
+// maxMinLevel returns the level of the weighted max-min shares of a capacity that does not cover all demands: min(demand, level x
+// weight) over all claims sums to the capacity. If it covers them, the level is infinite.
+func maxMinLevel(claims []claim, capacity float64) float64 {
+	slices.SortFunc(claims, func(a, b claim) int { return cmp.Compare(a.demand/a.weight, b.demand/b.weight) })
+	weightsFrom := make([]float64, len(claims)) // sums, as differences of weights of very different size are not exact
+	weights := 0.0
+	for i, c := range slices.Backward(claims) {
+		weights += c.weight
+		weightsFrom[i] = weights
+	}
+	for i, c := range claims {
+		if level := max(0, capacity) / weightsFrom[i]; c.demand/c.weight >= level {
+			return level
+		}
+		capacity -= c.demand
+	}
+	return math.Inf(1)
+}
