board: Price engine time and slots by the customers' shares

One customer at 7.5 times its usual load made the others' short prompts late on all engines. Placements now carry the customer's hash (key 11 of ActiveRequest, only while shares are in force), each instance keeps the customers' use by service, and the price in the admission control test is multiplied by the factor of package share. A plain service whose slots are all in use refuses customers over twice their share (kind share).

For customers over their share it now also has what others lose, the request's own waiting, and the engine's last slots. Engine time has the slot's part of decoding, and what this instance has refused tells a customer that wants much more from a large one.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -13,6 +13,7 @@
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/loop"
 	"github.com/corianderpier/corianderpier/internal/model"
+	"github.com/corianderpier/corianderpier/internal/share"
 )
 
 const (
@@ -39,6 +40,9 @@
 	// Unlinked reports whether this instance has lost its links to all targets, so that a target which it does not reach may be
 	// sound. Nil if it never does.
 	Unlinked func() bool
+	// Weights returns the weights of the customers that the configuration gives a priority; nil while customers have no shares. A
+	// nil Weights is the same.
+	Weights func() map[share.Customer]share.Weight
 
 	targets          map[string]*targetState      // by id
 	departed         map[string]departure         // targets that have left lately, by id
@@ -51,6 +55,7 @@
 	announce         bool   // set when instances have joined, which do not know the own requests yet
 	lastNumber       uint64 // number of the last own request, see firstNumber
 	remotePlacements placementRate
+	shares           shareState
 	limitNamed       atomic.Bool // some target has named a rate limit
 }
 
@@ -76,6 +81,7 @@
 	b.ownRequests = make(map[uint64]*ActiveRequest)
 	b.placedAt = make(map[uint64]clock.Millis)
 	b.placements = make(map[uint64]*Placement)
+	b.shares = shareState{ledgers: make(map[string]*share.Ledger), reduced: make(map[reducedKey]clock.Millis)}
 	b.lastNumber = firstNumber()
 }
 
@@ -160,15 +166,14 @@
 func (b *Board) Place(req Requirements) (*Placement, error) {
 	var p *Placement
 	var err error
-	if !b.Loop.Call(func() { p, err = b.place(req) }) {
+	if !b.Loop.Call(func() { p, err = b.place(clock.Now(), req) }) {
 		return nil, &Error{Op: "place", Kind: Stopped}
 	}
 	return p, err
 }
 
 // place is Place on the control loop.
-func (b *Board) place(req Requirements) (*Placement, error) {
-	now := clock.Now()
+func (b *Board) place(now clock.Millis, req Requirements) (*Placement, error) {
 	targets, short := b.eligibleTargets(now, req, b.inCell)
 	engine, isEngine := b.Engine(req.Service)
 	if isEngine && req.exceeds(engine, len(targets)) {
@@ -189,10 +194,13 @@
 			return nil, &Error{Op: "place", Kind: TooLarge}
 		}
 		chosen = chooseEngines(now, req, targets, b.randomness(now, len(targets)))
-		if chosen.primary != nil && !req.Begun && chosen.cost+timePrice(targets)*engine.PrefillTime(req.PromptTokens) > req.value() {
+		if chosen.primary != nil && !req.Begun && b.tooCostly(now, req, targets, chosen) {
 			return nil, &Error{Op: "place", Kind: Costly}
 		}
 	} else {
+		if wait := b.overShare(now, req, targets); wait > 0 {
+			return nil, &Error{Op: "place", Kind: Share, Wait: wait}
+		}
 		chosen = choosePlain(now, b.Zone, targets)
 	}
 	if chosen.primary == nil {
@@ -286,7 +294,7 @@
 	b.lastNumber++
 	r := ActiveRequest{
 		Number: b.lastNumber, Target: chosen.primary.ID, PromptTokens: req.PromptTokens, MaxOutputTokens: req.MaxOutputTokens,
-		FirstEventSLO: req.FirstEventSLO, EventGapSLO: req.EventGapSLO, SplitMemory: chosen.splitMemory,
+		FirstEventSLO: req.FirstEventSLO, EventGapSLO: req.EventGapSLO, SplitMemory: chosen.splitMemory, Customer: b.customerOf(req),
 	}
 	p := &Placement{
 		Target: chosen.primary.Target, PredictedFirstEvent: clock.Millis(chosen.firstEvent),
@@ -303,6 +311,9 @@
 	b.ownRequests[r.Number] = &r
 	b.placedAt[r.Number] = now
 	b.addRequest(now, requestKey{b.Self, r.Number}, r)
+	if r.Customer != 0 {
+		b.recordUse(now, r, b.weightOf(req))
+	}
 	b.pending.Placed = append(b.pending.Placed, r)
 	b.flush()
 	return p
--- a/internal/board/broadcast.go
+++ b/internal/board/broadcast.go
@@ -79,6 +79,7 @@
 		}
 	}
 	b.forgetDeparted(now)
+	b.forgetReduced(now)
 	for k, r := range b.requests {
 		if k.owner != b.Self && now-r.lastHeard >= instanceTimeout {
 			b.removeRequest(k)
@@ -120,6 +121,7 @@
 		switch {
 		case !b.refresh(now, k):
 			b.addRequest(now, k, r)
+			b.recordUse(now, r, 0)
 			b.remotePlacements.add(now)
 		case r.FirstEventSeen:
 			b.recordFirstEvent(k, 0) // in case the datagram that reported the first event was lost
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -44,6 +44,7 @@
 	splitMemory bool    // helpers keep their parts in memory until the answer ends
 	firstEvent  float64 // predicted, milliseconds from now
 	cost        float64
+	othersLoss  float64 // the part of cost that other requests lose
 }
 
 // chooseEngines returns the choice of one engine, or of several for a long prompt, by which the request and those that it
@@ -213,8 +214,9 @@
 		}
 	}
 	for _, lost := range losses {
-		total.cost += lost
+		total.othersLoss += lost
 	}
+	total.cost += total.othersLoss
 	total.firstEvent += primary.firstEvent - primary.prefillEnd
 	total.cost += req.loss(total.firstEvent) + extraPartCost*req.value()*float64(len(chosen)-1)
 	return total
--- a/internal/board/error.go
+++ b/internal/board/error.go
@@ -13,6 +13,7 @@
 	Costly   Kind = "costly"    // its predicted cost, by its own lateness and by delay to others, exceeds its value
 	Limited  Kind = "limited"   // all targets of the service have reached the rate limits that they name
 	Quiet    Kind = "quiet"     // all targets of the service want no requests for a while
+	Share    Kind = "share"     // all targets are in use, and its customer uses far more than its share
 	Stopped  Kind = "stopped"   // the instance is shutting down
 )
 
--- a/internal/board/request.go
+++ b/internal/board/request.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/model"
+	"github.com/corianderpier/corianderpier/internal/share"
 )
 
 // outputWeight is the value of a generated token, in prompt tokens.
@@ -31,6 +32,8 @@
 	Elapsed         clock.Millis    // since the caller's request arrived
 	Deadline        clock.Millis    // point in time
 	Exclude         map[string]bool // ids of targets to avoid
+	Customer        string          // name; empty if the request has none
+	Priority        float64         // of the customer, or else of the route: 0 is the highest
 	Begun           bool            // the caller has a part of the answer, so that it can't be refused any more, only cut
 }
 
@@ -47,16 +50,17 @@
 
 // ActiveRequest is a placed request as instances broadcast it.
 type ActiveRequest struct {
-	Number          uint64       `cbor:"1,keyasint"` // unique among those of all processes of its instance
-	Target          string       `cbor:"2,keyasint"`
-	Helpers         []string     `cbor:"3,keyasint,omitempty"` // targets that prefill a part of the prompt
-	PromptTokens    int          `cbor:"4,keyasint,omitempty"`
-	MaxOutputTokens int          `cbor:"5,keyasint,omitempty"`
-	FirstEventSLO   clock.Millis `cbor:"6,keyasint,omitempty"`
-	EventGapSLO     clock.Millis `cbor:"7,keyasint,omitempty"`
-	FirstEventSeen  bool         `cbor:"8,keyasint,omitempty"`  // the first event has been received
-	Age             clock.Millis `cbor:"9,keyasint,omitempty"`  // since it was placed
-	SplitMemory     bool         `cbor:"10,keyasint,omitempty"` // helpers keep their parts of the prompt in memory until the request ends
+	Number          uint64         `cbor:"1,keyasint"` // unique among those of all processes of its instance
+	Target          string         `cbor:"2,keyasint"`
+	Helpers         []string       `cbor:"3,keyasint,omitempty"` // targets that prefill a part of the prompt
+	PromptTokens    int            `cbor:"4,keyasint,omitempty"`
+	MaxOutputTokens int            `cbor:"5,keyasint,omitempty"`
+	FirstEventSLO   clock.Millis   `cbor:"6,keyasint,omitempty"`
+	EventGapSLO     clock.Millis   `cbor:"7,keyasint,omitempty"`
+	FirstEventSeen  bool           `cbor:"8,keyasint,omitempty"`  // the first event has been received
+	Age             clock.Millis   `cbor:"9,keyasint,omitempty"`  // since it was placed
+	SplitMemory     bool           `cbor:"10,keyasint,omitempty"` // helpers keep their parts of the prompt in memory until the request ends
+	Customer        share.Customer `cbor:"11,keyasint,omitempty"` // zero if it is unknown, as of instances of earlier builds
 }
 
 // value returns the weight of a request against others, as Requirements.value.
--- /dev/null
+++ b/internal/board/share.go
@@ -0,0 +1,206 @@
+package board
+
+import (
+	"log/slog"
+	"math"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/model"
+	"github.com/corianderpier/corianderpier/internal/share"
+)
+
+const (
+	refusedExcess = 2.0                   // multiple of its share above which a customer is refused while all slots are in use
+	leastExcess   = 1.1                   // below which a customer is not refused, however many requests wait for slots
+	minShareWait  = 300 * clock.Millis(1) // until a customer that is refused for that may try again, at least
+	maxShareWait  = 2 * clock.Second      // the same, at most
+	fewSlotsFrom  = 0.8                   // of an engine's slots: from here, the use of one has a price for a customer over its share
+	reducedWindow = 5 * clock.Second      // since its last request that was refused for its share, for which a customer counts as reduced
+	maxReduced    = 32                    // customers of which is logged at a time that they are reduced
+)
+
+// shareState is what an instance knows of the use that customers make of services.
+type shareState struct {
+	ledgers map[string]*share.Ledger // by service
+	reduced map[reducedKey]clock.Millis
+}
+
+// reducedKey is a customer whose requests to a service have been refused lately since it uses more than its share.
+type reducedKey struct {
+	service  string
+	customer string
+}
+
+// sharesInForce reports whether customers have shares.
+func (b *Board) sharesInForce() bool { return b.Weights != nil && b.Weights() != nil }
+
+// customerOf returns the customer of an own request as it is broadcast: none while customers have no shares.
+func (b *Board) customerOf(req Requirements) share.Customer {
+	if !b.sharesInForce() {
+		return 0
+	}
+	return share.CustomerOf(req.Customer)
+}
+
+// weightOf returns the weight of the customer of an own request: that of its priority, or else of the request's.
+func (b *Board) weightOf(req Requirements) share.Weight {
+	if w, ok := b.Weights()[share.CustomerOf(req.Customer)]; ok {
+		return w
+	}
+	w, err := share.WeightOf(req.Priority)
+	if err != nil {
+		return 1
+	}
+	return w
+}
+
+// ledger returns the ledger of a service.
+func (b *Board) ledger(service string) *share.Ledger {
+	l := b.shares.ledgers[service]
+	if l == nil {
+		l = &share.Ledger{}
+		b.shares.ledgers[service] = l
+	}
+	return l
+}
+
+// recordUse records a placed request, of this instance or another, as use by its customer: engine time, or one request of a plain
+// service. The weight is zero if only the instance that has the request knows it.
+func (b *Board) recordUse(now clock.Millis, r ActiveRequest, weight share.Weight) {
+	if r.Customer == 0 || !b.sharesInForce() {
+		return
+	}
+	if w, ok := b.Weights()[r.Customer]; ok {
+		weight = w
+	}
+	service := b.target(r.Target).Service
+	if service == "" {
+		return // the target is not listed yet
+	}
+	amount := 1.0
+	if engine, isEngine := b.Engine(service); isEngine {
+		amount = engineTime(engine, r.PromptTokens, r.MaxOutputTokens)
+	}
+	b.ledger(service).Record(now, r.Age, r.Customer, weight, amount)
+}
+
+// engineTime returns the part of an engine's time that a request takes: the whole engine while it is prefilled, and one slot of it
+// while its answer is generated.
+func engineTime(e model.Engine, prompt, output int) float64 {
+	time := e.PrefillTime(prompt)
+	if e.Slots <= 0 {
+		return time
+	}
+	passes := float64(output) / float64(max(e.StepsPerPass, 1))
+	return time + passes*e.DecodePassTime(1, prompt)/float64(e.Slots)
+}
+
+// tooCostly reports whether a request would cost more than its value: what it and others lose by the choice, and the price of the
+// engine time.
+func (b *Board) tooCostly(now clock.Millis, req Requirements, targets []*targetState, chosen choice) bool {
+	price := timePrice(targets) * targets[0].schedule.Engine.PrefillTime(req.PromptTokens)
+	cost := chosen.cost + price
+	if !b.sharesInForce() {
+		return cost > req.value()
+	}
+	engine, ledger, customer := targets[0].schedule.Engine, b.ledger(req.Service), share.CustomerOf(req.Customer)
+	factor := ledger.Factor(now, customer, b.weightOf(req), float64(len(targets))*float64(share.Window))
+	if factor > 1 {
+		price += chosen.crowding(req, engine.PartPrefillTime(req.PromptTokens, 1+len(chosen.helpers)))
+		price += chosen.primary.slotPrice() * req.value()
+	}
+	tooCostly := cost+(factor-1)*price > req.value()
+	ledger.RecordOffer(now, customer, engineTime(engine, req.PromptTokens, req.MaxOutputTokens), tooCostly)
+	switch {
+	case tooCostly && cost <= req.value():
+		b.noteReduced(now, req, "costly")
+	case !tooCostly && cost > req.value():
+		countShare("favoured")
+	}
+	return tooCostly
+}
+
+// crowding returns the part of a choice's cost that is due to a lack of capacity: what other requests lose, and what the request
+// loses by waiting, as its prefill takes only idle milliseconds on engines without other work.
+func (c choice) crowding(req Requirements, idle float64) float64 {
+	return c.othersLoss + max(0, req.loss(c.firstEvent)-req.loss(idle))
+}
+
+// slotPrice returns the price of one of the engine's slots for a customer over its share, as a part of the request's value. It grows
+// from nothing at fewSlotsFrom to 1 when all slots are in use, so that there are slots left for the other customers: requests wait
+// for a slot until an answer ends, and the cost of a choice shows that only after the last slot is taken.
+func (s *targetState) slotPrice() float64 {
+	slots := s.schedule.Engine.Slots
+	if slots <= 0 {
+		return 0 // there is no limit
+	}
+	used := min(1, float64(s.runningCount())/float64(slots))
+	return max(0, used-fewSlotsFrom) / (1 - fewSlotsFrom)
+}
+
+// overShare returns for how long the customer of a request to a plain service is to wait, as all slots are in use and it uses far
+// more than its share; else zero. The more requests wait for slots, the less a customer may exceed its share.
+func (b *Board) overShare(now clock.Millis, req Requirements, targets []*targetState) clock.Millis {
+	if req.Begun || !b.sharesInForce() {
+		return 0
+	}
+	running, slots := 0, 0
+	for _, s := range targets {
+		if s.runningCount() < max(s.Slots, 1) {
+			return 0
+		}
+		running += s.runningCount()
+		slots += max(s.Slots, 1)
+	}
+	excess := b.ledger(req.Service).Excess(now, share.CustomerOf(req.Customer), b.weightOf(req), plainCapacity(now, targets, running))
+	over := excess * float64(running) / float64(slots) / refusedExcess
+	if over <= 1 || excess < leastExcess {
+		return 0
+	}
+	b.noteReduced(now, req, "slots")
+	return min(max(minShareWait, clock.Millis(math.Log(over)*float64(share.Window))), maxShareWait) // by then its use has decayed so far
+}
+
+// plainCapacity returns how many requests targets answer within share.Window while all their slots are in use: by Little's law, as
+// many as run, in each answer time. It is infinite while no answer time is known.
+func plainCapacity(now clock.Millis, targets []*targetState, running int) float64 {
+	slowest := 0.0
+	for _, s := range targets {
+		slowest = max(slowest, s.recentAnswerTime(now))
+	}
+	if slowest == 0 {
+		return math.Inf(1)
+	}
+	return float64(running) * float64(share.Window) / slowest
+}
+
+// noteReduced records that a request is refused that would be placed if its customer used no more than its share.
+func (b *Board) noteReduced(now clock.Millis, req Requirements, reason string) {
+	countShare(reason)
+	k := reducedKey{service: req.Service, customer: req.Customer}
+	_, known := b.shares.reduced[k]
+	if !known && len(b.shares.reduced) >= maxReduced {
+		return
+	}
+	b.shares.reduced[k] = now
+	if !known {
+		slog.Info("customer over its share", "service", k.service, "customer", k.customer, "reason", reason)
+	}
+}
+
+// forgetReduced ends the reduction of customers none of whose requests has been refused lately for its share.
+func (b *Board) forgetReduced(now clock.Millis) {
+	for k, at := range b.shares.reduced {
+		if now-at > reducedWindow {
+			delete(b.shares.reduced, k)
+			slog.Info("customer within its share again", "service", k.service, "customer", k.customer)
+		}
+	}
+}
+
+// countShare counts a request whose placement its customer's share has decided.
+func countShare(reason string) {
+	metrics.GetOrCreateCounter(`pier_board_share_total{reason="` + reason + `"}`).Inc()
+}
--- a/internal/share/ledger.go
+++ b/internal/share/ledger.go
@@ -22,10 +22,7 @@
 
 	// demandFactor is the multiple of its use that a customer is taken to demand. With 1, a customer that crowds out the others
 	// would be entitled to all that it has taken; with 1.5, customers that use a little more than an equal part pay as well.
-	demandFactor = 1.25
-	// factorPower is the power of the excess that makes the factor. With 2, a customer with most of the use, which can exceed its
-	// share by a fifth only, pays too little for the others to keep their service.
-	factorPower = 3
+	demandFactor = 1.2
 )
 
 // Ledger is the use of one service by its customers. The zero value is ready for use.
@@ -38,8 +35,10 @@
 type account struct {
 	customer Customer
 	weight   Weight
-	use      float64 // decayed to the time at
-	at       clock.Millis
+	use      float64      // of all instances that are heard, decayed to the time at
+	offered  float64      // use that this instance was asked for, decayed in the same way
+	refused  float64      // the part of offered that it has refused
+	at       clock.Millis // of the last record
 }
 
 // level is the fair share of a customer of weight 1, as it was computed.
@@ -59,14 +58,34 @@
 	if weight.valid() {
 		a.weight = weight
 	}
-	a.use = a.decayed(now) + decay(min(amount, maxAmount), age)
-	a.at = max(a.at, now)
+	a.advance(now)
+	a.use += decay(min(amount, maxAmount), age)
+}
+
+// RecordOffer records that this instance was asked for a use, and whether it has refused that. A use that it has placed is recorded
+// with Record too.
+func (l *Ledger) RecordOffer(now clock.Millis, c Customer, amount float64, refused bool) {
+	if !(amount >= 0) {
+		return
+	}
+	a := l.account(now, c)
+	a.advance(now)
+	a.offered += min(amount, maxAmount)
+	if refused {
+		a.refused += min(amount, maxAmount)
+	}
 }
 
 // Factor returns the factor by which the price of a customer is multiplied: above 1 if its use exceeds its fair share, and below 1
-// if it has a part of the share left. See Excess for the arguments.
+// if it has a part of the share left. It is the square of Excess, so that the bounds are reached at twice the share and at half of
+// it. The excess of a customer above its share is multiplied by what this instance was asked for in relation to what it has placed:
+// that tells one that wants much more from one that just has a large part. See Excess for the arguments.
 func (l *Ledger) Factor(now clock.Millis, c Customer, weight Weight, capacity float64) float64 {
-	return min(max(math.Pow(l.Excess(now, c, weight, capacity), factorPower), minFactor), maxFactor)
+	excess := l.Excess(now, c, weight, capacity)
+	if a := l.accounts[c]; a != nil && excess > 1 && a.refused > 0 {
+		excess *= a.offered / max(a.offered-a.refused, minUse)
+	}
+	return min(max(excess*excess, minFactor), maxFactor)
 }
 
 // Excess returns the use of a customer as a multiple of its fair share. The capacity is what the service can do within Window; all
@@ -94,6 +113,13 @@
 // decayed returns the use as of now. A use that was recorded for a later time counts as of that time.
 func (a *account) decayed(now clock.Millis) float64 { return decay(a.use, max(0, now-a.at)) }
 
+// advance lets the use decay up to now.
+func (a *account) advance(now clock.Millis) {
+	age := max(0, now-a.at)
+	a.use, a.offered, a.refused = decay(a.use, age), decay(a.offered, age), decay(a.refused, age)
+	a.at += age
+}
+
 // decay returns what is left of a use after some time.
 func decay(use float64, age clock.Millis) float64 {
 	return use * math.Exp(-float64(age)/float64(Window))
