relay: Refuse requests of customers over their share as such

Board refuses them with the kind share and a time to wait; callers get 503 with the reason share, not run, and that time. The relay passes the customer and the priority to the board. pierctl why explains the reason. TestRefusedForShare fails without the mapping (reason full).

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -246,6 +246,8 @@
 		return Limited
 	case board.Quiet:
 		return Quiet
+	case board.Share:
+		return Share
 	default:
 		return Full
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -26,11 +26,12 @@
 type Request struct {
 	ID               string // given by the caller
 	Kind             Kind
-	Resumable        bool   // another target may continue the stream
-	LastEventID      int    // of the last event that the caller has; zero also if it has none
-	HasEvent         bool   // the caller has an event with an id, whatever that is
-	Service          string // name of the service that runs the request
-	Customer         string
+	Resumable        bool        // another target may continue the stream
+	LastEventID      int         // of the last event that the caller has; zero also if it has none
+	HasEvent         bool        // the caller has an event with an id, whatever that is
+	Service          string      // name of the service that runs the request
+	Customer         string      // name; empty if the request has none
+	Priority         float64     // of the customer, or else of the route: 0 is the highest
 	ConfigVersion    uint64      // version of the configuration that the route comes from
 	Header           http.Header // end-to-end headers
 	Method           string
@@ -79,7 +80,7 @@
 	return board.Requirements{
 		ID: r.ID, Service: r.Service, PromptTokens: r.PromptTokens, MaxOutputTokens: r.MaxOutputTokens,
 		FirstEventSLO: r.FirstEventSLO, EventGapSLO: r.EventGapSLO, Elapsed: now - waitingSince, Deadline: r.deadline(),
-		Exclude: exclude, Begun: p.responseStarted,
+		Exclude: exclude, Begun: p.responseStarted, Customer: r.Customer, Priority: r.Priority,
 	}
 }
 
@@ -107,6 +108,7 @@
 	Costly       Reason = "costly"        // the engines are busy, and the prompt would make other requests miss their objectives
 	Full         Reason = "full"          // no engine has enough free memory, or the request cannot be placed for another reason
 	Limited      Reason = "limited"       // all targets have reached the rate limits that they name
+	Share        Reason = "share"         // all targets are in use, and the customer uses far more than its share
 	Quiet        Reason = "quiet"         // all targets want no requests for a while
 	Refused      Reason = "refused"       // none of the targets that were tried ran the request
 	Expired      Reason = "expired"       // the deadline passed, or was too near, before the request could have run
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -98,6 +98,7 @@
 	"error":         "the target itself answered with an error, which was forwarded",
 	"caller_gone":   "the caller closed its connection; see left_ms for whether its deadline had passed",
 	"costly":        "refused: the engines were loaded and the prompt would have delayed other requests past their limits; it has not run",
+	"share":         "refused: all targets were in use and the customer used far more than its share; it has not run",
 	"full":          "refused: no engine had enough free memory; it has not run",
 	"too_large":     "refused: all engines together have too little memory; it has not run",
 	"no_target":     "refused: no target of the service was listed; look for log lines of the feed servers",
