board: Measure what plain services answer to divide it

Little's law by the answer times of late overestimates the capacity while queues grow. The capacity is now what has been answered within the window, and a customer that is over 0.75 of its share is refused too once enough requests wait.

--- a/internal/board/broadcast.go
+++ b/internal/board/broadcast.go
@@ -131,6 +131,7 @@
 		b.recordFirstEvent(requestKey{p.From, e.Number}, now-e.Age)
 	}
 	for _, number := range p.Ended {
+		b.recordEnd(now, requestKey{p.From, number})
 		b.removeRequest(requestKey{p.From, number})
 	}
 	for _, change := range p.Limits {
--- a/internal/board/fuzz_test.go
+++ b/internal/board/fuzz_test.go
@@ -13,7 +13,7 @@
 func FuzzReceive(f *testing.F) {
 	const placementTime = 2 * time.Second
 	seed, err := cbor.Marshal(packet{
-		From: "entry-9", Placed: []ActiveRequest{{Number: 1, Target: "engine-0", Helpers: []string{"engine-1"}, PromptTokens: 1000, MaxOutputTokens: 20}},
+		From: "entry-9", Placed: []ActiveRequest{{Number: 1, Target: "engine-0", Helpers: []string{"engine-1"}, PromptTokens: 1000, MaxOutputTokens: 20, Customer: 7}},
 		FirstEvents: []firstEvent{{Number: 1, Age: 5}}, Ended: []uint64{1}, Failed: []string{"engine-0"}, Unreachable: []string{"plain-0"},
 		Probes: []ProbeResult{{Target: "engine-0", Slowdown: 2}}, Limits: []TargetLimit{{Target: "engine-1"}},
 		Leaving: []TargetLeaving{{Target: "engine-2", Born: 1}}, Doubted: []TargetDoubt{{Target: "engine-3", Left: 100}},
@@ -24,6 +24,7 @@
 	f.Add(seed)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		b := newBoards(t, 1, 4)[0]
+		weighted([]*Board{b}, "importer")
 		b.Receive(data)
 		done := make(chan struct{})
 		go func() {
--- a/internal/board/placement.go
+++ b/internal/board/placement.go
@@ -95,6 +95,7 @@
 		took := clock.Now() - b.placedAt[p.number]
 		delete(b.placedAt, p.number)
 		delete(b.placements, p.number)
+		b.recordEnd(clock.Now(), requestKey{b.Self, p.number})
 		b.removeRequest(requestKey{b.Self, p.number})
 		b.pending.Ended = append(b.pending.Ended, p.number)
 		id := p.Target.ID
--- a/internal/board/share.go
+++ b/internal/board/share.go
@@ -13,7 +13,7 @@
 
 const (
 	refusedExcess = 2.0                   // multiple of its share above which a customer is refused while all slots are in use
-	leastExcess   = 1.1                   // below which a customer is not refused, however many requests wait for slots
+	leastExcess   = 0.75                  // multiple below which it is not, however many requests wait for slots; under 1, so that these become fewer
 	minShareWait  = 300 * clock.Millis(1) // until a customer that is refused for that may try again, at least
 	maxShareWait  = 2 * clock.Second      // the same, at most
 	fewSlotsFrom  = 0.8                   // of an engine's slots: from here, the use of one has a price for a customer over its share
@@ -141,7 +141,7 @@
 }
 
 // overShare returns for how long the customer of a request to a plain service is to wait, as all slots are in use and it uses far
-// more than its share; else zero. The more requests wait for slots, the less a customer may exceed its share.
+// more than its share; else zero. The more requests wait for slots, the less of its share a customer may use.
 func (b *Board) overShare(now clock.Millis, req Requirements, targets []*targetState) clock.Millis {
 	if req.Begun || !b.sharesInForce() {
 		return 0
@@ -154,26 +154,43 @@
 		running += s.runningCount()
 		slots += max(s.Slots, 1)
 	}
-	excess := b.ledger(req.Service).Excess(now, share.CustomerOf(req.Customer), b.weightOf(req), plainCapacity(now, targets, running))
+	ledger, capacity := b.ledger(req.Service), b.plainCapacity(now, req.Service, targets, slots)
+	excess := ledger.Excess(now, share.CustomerOf(req.Customer), b.weightOf(req), capacity)
 	over := excess * float64(running) / float64(slots) / refusedExcess
-	if over <= 1 || excess < leastExcess {
+	if over <= 1 || excess < leastExcess || !ledger.Contended(now, capacity) {
 		return 0
 	}
 	b.noteReduced(now, req, "slots")
 	return min(max(minShareWait, clock.Millis(math.Log(over)*float64(share.Window))), maxShareWait) // by then its use has decayed so far
 }
 
-// plainCapacity returns how many requests targets answer within share.Window while all their slots are in use: by Little's law, as
-// many as run, in each answer time. It is infinite while no answer time is known.
-func plainCapacity(now clock.Millis, targets []*targetState, running int) float64 {
+// plainCapacity returns how many requests to a plain service its targets answer within share.Window while all slots are in use: as
+// many as they have answered, or as the answer times tell, which contain the wait for a slot. While neither is known, that is one
+// for each slot.
+func (b *Board) plainCapacity(now clock.Millis, service string, targets []*targetState, slots int) float64 {
 	slowest := 0.0
 	for _, s := range targets {
 		slowest = max(slowest, s.recentAnswerTime(now))
 	}
 	if slowest == 0 {
-		return math.Inf(1)
+		slowest = float64(share.Window)
+	}
+	return max(b.ledger(service).Ended(now), float64(slots)*float64(share.Window)/slowest)
+}
+
+// recordEnd records that a request to a plain service has ended.
+func (b *Board) recordEnd(now clock.Millis, k requestKey) {
+	r := b.requests[k]
+	if r == nil || !b.sharesInForce() {
+		return
+	}
+	s := b.targets[r.targets[0]]
+	if s == nil || s.Service == "" {
+		return
+	}
+	if _, isEngine := b.Engine(s.Service); !isEngine {
+		b.ledger(s.Service).RecordEnd(now)
 	}
-	return float64(running) * float64(share.Window) / slowest
 }
 
 // noteReduced records that a request is refused that would be placed if its customer used no more than its share.
--- a/internal/board/shareplain_test.go
+++ b/internal/board/shareplain_test.go
@@ -143,16 +143,21 @@
 	left    clock.Millis
 }
 
-// playPlain plays a minute of a load on three plain targets of six slots, each request of which takes 300 ms: about the load that
-// they bear, and one customer at the given multiple of its usual load. It returns the mean time to an answer of the other customers'
-// requests, and the parts of both that were served.
-func playPlain(t *testing.T, multiple float64, shares bool) (mean clock.Millis, one, others float64) {
+// plainLoad is a load on three plain targets of six slots each.
+type plainLoad struct {
+	takes  clock.Millis // time of each request in a slot
+	one    float64      // requests per second of one customer
+	others float64      // requests per second of 23 others together
+}
+
+// playPlain plays two minutes of a load. It returns the mean time to an answer of the others' requests, the parts of the requests
+// of the one and of the others that were answered and not refused, and the part of the slots that was in use.
+func playPlain(t *testing.T, load plainLoad, shares bool) (mean clock.Millis, one, others, used float64) {
 	t.Helper()
 	const (
-		step  = 5 * clock.Millis(1)
-		takes = 300 * clock.Millis(1)
-		slots = 6
-		usual = 50.0 // requests per second of all customers
+		step   = 5 * clock.Millis(1)
+		length = 2 * clock.Minute
+		slots  = 6
 	)
 	boards := newBoards(t, 1, 0)
 	names := []string{"importer"}
@@ -169,20 +174,22 @@
 	for i := range 3 {
 		targets[fmt.Sprint("plain-", i)] = &plainTarget{}
 	}
-	offered, served := make(map[bool]float64), make(map[bool]float64)
+	refused, served := make(map[bool]float64), make(map[bool]float64)
 	var total clock.Millis
 	start := clock.Now() + clock.Hour
-	for now := start; now < start+clock.Minute; now += step {
+	for now := start; now < start+length; now += step {
 		for id, target := range targets {
 			kept := target.queue[:0]
 			for i, r := range target.queue {
 				if i < slots {
 					r.left -= step
+					used++
 				}
 				if r.left > 0 {
 					kept = append(kept, r)
 					continue
 				}
+				b.recordEnd(now, r.key)
 				b.removeRequest(r.key)
 				delete(b.ownRequests, r.key.number)
 				s := b.targets[id]
@@ -195,38 +202,48 @@
 			target.queue = kept
 		}
 		for _, name := range names {
-			rate := usual * 0.85 / 23
+			rate := load.others / 23
 			if name == names[0] {
-				rate = usual * 0.15 * multiple
+				rate = load.one
 			}
 			if rng.Float64() >= rate*step.Seconds() {
 				continue
 			}
-			offered[name == names[0]]++
-			if p, err := b.place(now, plainOf(name)); err == nil {
-				target := targets[p.Target.ID]
-				target.queue = append(target.queue, &plainRequest{key: requestKey{b.Self, p.number}, by: name, arrived: now, left: takes})
+			p, err := b.place(now, plainOf(name))
+			if err != nil {
+				refused[name == names[0]]++
+				continue
 			}
+			target := targets[p.Target.ID]
+			target.queue = append(target.queue, &plainRequest{key: requestKey{b.Self, p.number}, by: name, arrived: now, left: load.takes})
 		}
 	}
-	return total / clock.Millis(served[false]), served[true] / offered[true], served[false] / offered[false]
+	used /= 3 * slots * float64(length/step)
+	return total / clock.Millis(served[false]), served[true] / (served[true] + refused[true]), served[false] / (served[false] + refused[false]), used
 }
 
-// Pattern: one of 24 customers sends 7.5 times its usual load to a plain service. Without shares the targets' queues grow without
-// end; with them the others' answers come in time, and the slots stay in use.
+// Pattern: one customer sends far more than usual to a plain service, beside others of large or small demand, with short and long
+// requests. Without shares the targets' queues grow without end; with them the others' answers come in time, and the slots stay in
+// use.
 func TestSurgeAtPlainService(t *testing.T) {
-	t.Parallel()
-	is := is.New(t)
-	usual, _, _ := playPlain(t, 1, false)
-	without, _, _ := playPlain(t, surgeFactor, false)
-	with, one, others := playPlain(t, surgeFactor, true)
-	t.Logf("mean answer of the others: usual %v, without shares %v, with %v; served of the one %.2f, of the others %.2f", usual, without, with, one, others)
-	is.True(without > 10*usual)
-	is.True(with <= 3*usual)
-	is.True(others >= keptService)
-	capacity := 18.0 / 0.3
-	is.True(one*50*0.15*surgeFactor+others*50*0.85 >= 0.9*capacity) // requests per second
-	is.True(one >= starvedBelow*others)
+	for name, load := range map[string]plainLoad{
+		"7.5 times":     {takes: 300, one: 7.5 * surgeFactor, others: 42.5},
+		"small others":  {takes: 300, one: 100, others: 3},
+		"long requests": {takes: 4000, one: 10, others: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			without, _, _, _ := playPlain(t, load, false)
+			with, one, others, used := playPlain(t, load, true)
+			t.Logf("mean answer of the others: without shares %v, with %v; answered of the one %.2f, of the others %.2f; slots used %.2f", without, with, one, others, used)
+			is.True(without > 5*load.takes)
+			is.True(with <= 3*load.takes)
+			is.True(others >= keptService)
+			is.True(used >= 0.9)
+			is.True(one >= starvedBelow*(load.one*one+load.others*others)/(load.one+load.others))
+		})
+	}
 }
 
 // The weight of a request is that of its customer's priority, or else of its route's; an odd one counts as none.
--- a/internal/share/ledger.go
+++ b/internal/share/ledger.go
@@ -29,6 +29,8 @@
 type Ledger struct {
 	accounts map[Customer]*account
 	cached   level
+	ended    float64 // uses that have ended, decayed to the time endedAt
+	endedAt  clock.Millis
 }
 
 // account is the use of one customer.
@@ -76,6 +78,19 @@
 	}
 }
 
+// RecordEnd records that a use has ended.
+func (l *Ledger) RecordEnd(now clock.Millis) {
+	l.ended, l.endedAt = l.Ended(now)+1, max(l.endedAt, now)
+}
+
+// Ended returns how many uses have ended within Window.
+func (l *Ledger) Ended(now clock.Millis) float64 { return decay(l.ended, max(0, now-l.endedAt)) }
+
+// Contended reports whether several customers are active, given the capacity as for Excess.
+func (l *Ledger) Contended(now clock.Millis, capacity float64) bool {
+	return l.level(now, capacity).use > 0
+}
+
 // Factor returns the factor by which the price of a customer is multiplied: above 1 if its use exceeds its fair share, and below 1
 // if it has a part of the share left. It is the square of Excess, so that the bounds are reached at twice the share and at half of
 // it. The excess of a customer above its share is multiplied by what this instance was asked for in relation to what it has placed:
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -281,3 +281,19 @@
 	}
 	is.True(math.Abs(l.Factor(now, 1, 1, noLimit)-l.Factor(now, 2, 1, noLimit)) < 0.5)
 }
+
+// What has ended within the window is the capacity of a service that is in use, and decays with it.
+func TestEnded(t *testing.T) {
+	is := is.New(t)
+	var l Ledger
+	is.Equal(l.Ended(0), 0.0)
+	for now := clock.Millis(0); now < 20*clock.Second; now += 100 {
+		l.RecordEnd(now)
+	}
+	is.True(l.Ended(20*clock.Second) > 18 && l.Ended(20*clock.Second) < 21) // 10 per second
+	is.True(l.Ended(40*clock.Second) < 0.01)
+	l.Record(0, 0, 1, 1, 5)
+	is.True(!l.Contended(0, noLimit))
+	l.Record(20, 0, 2, 1, 5)
+	is.True(l.Contended(20, noLimit))
+}
