--- a/internal/board/share_test.go
+++ b/internal/board/share_test.go
@@ -122,7 +122,8 @@
 	_, others := play(t, instances, surging(customers, which), which, true)
 	_, without := play(t, instances, surging(customers, which), which, false, deaf)
 	_, split := play(t, instances, surging(customers, which), which, true, deaf)
-	t.Logf("others: usual %.3f, with %.3f; in a split view without shares %.3f, with %.3f", usual.service(), others.service(), without.service(), split.service())
+	t.Logf("others: usual %.3f, with %.3f; in a split view without shares %.3f, with %.3f",
+		usual.service(), others.service(), without.service(), split.service())
 	is.True(others.service() >= keptService*usual.service())
 	is.True(split.service() >= keptService*without.service())
 }
@@ -167,7 +168,8 @@
 	customers := shortCustomers(0.8)
 	usual, usualOthers := play(t, 1, customers, which, false)
 	one, others := play(t, 1, customers, which, true)
-	t.Logf("service of the one: without shares %.4f, with %.4f; of the others %.4f, %.4f", usual.service(), one.service(), usualOthers.service(), others.service())
+	t.Logf("service of the one: without shares %.4f, with %.4f; of the others %.4f, %.4f",
+		usual.service(), one.service(), usualOthers.service(), others.service())
 	is.True(one.service() >= keptService*usual.service())
 	is.True(others.service() >= 0.99*usualOthers.service())
 }
--- a/internal/board/shareplain_test.go
+++ b/internal/board/shareplain_test.go
@@ -236,7 +236,8 @@
 			is := is.New(t)
 			without, _, _, _ := playPlain(t, load, false)
 			with, one, others, used := playPlain(t, load, true)
-			t.Logf("mean answer of the others: without shares %v, with %v; answered of the one %.2f, of the others %.2f; slots used %.2f", without, with, one, others, used)
+			t.Logf("mean answer of the others: without shares %v, with %v; answered of the one %.2f, of the others %.2f; slots used %.2f",
+				without, with, one, others, used)
 			is.True(without > 5*load.takes)
 			is.True(with <= 3*load.takes)
 			is.True(others >= keptService)
