--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -13,6 +13,7 @@
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/loop"
 	"github.com/corianderpier/corianderpier/internal/model"
+	"github.com/corianderpier/corianderpier/internal/share"
 )
 
 const (
@@ -49,6 +50,9 @@
 	// OnRoom is called on the control loop when a request, or its part, has left a target of a service. It must neither block nor call
 	// the board. Nil if nobody waits for that.
 	OnRoom func(service string)
+	// Weights returns the weights of the customers that the configuration gives a priority; nil while customers have no shares. A
+	// nil Weights is the same.
+	Weights func() map[share.Customer]share.Weight
 
 	targets          map[string]*targetState      // by id
 	departed         map[string]departure         // targets that have left lately, by id
@@ -61,6 +65,7 @@
 	announce         bool   // set when instances have joined, which do not know the own requests yet
 	lastNumber       uint64 // number of the last own request, see firstNumber
 	remotePlacements placementRate
+	shares           shareState
 	limitNamed       atomic.Bool // some target has named a rate limit
 	coldNamed        atomic.Bool // some target is cold, or was until lately
 	cell             cell
@@ -93,6 +98,9 @@
 	b.ownRequests = make(map[uint64]*ActiveRequest)
 	b.placedAt = make(map[uint64]clock.Millis)
 	b.placements = make(map[uint64]*Placement)
+	b.shares = shareState{
+		ledgers: make(map[string]*share.Ledger), shortUntil: make(map[string]clock.Millis), reduced: make(map[reducedKey]clock.Millis),
+	}
 	b.lastNumber = firstNumber()
 }
 
@@ -226,11 +234,14 @@
 		}
 		chosen = chooseEngines(now, req, targets, b.randomness(now, len(targets)))
 		if chosen.primary != nil && !req.Begun {
-			if err := admit(req, engine, targets, chosen); err != nil {
+			if err := b.admit(now, req, engine, targets, chosen); err != nil {
 				return nil, err
 			}
 		}
 	} else {
+		if wait := b.overShare(now, req, targets); wait > 0 {
+			return nil, &Error{Op: "place", Kind: Share, Wait: wait}
+		}
 		chosen = choosePlain(now, b.Zone, targets)
 	}
 	if chosen.primary == nil {
@@ -355,7 +366,7 @@
 	b.lastNumber++
 	r := ActiveRequest{
 		Number: b.lastNumber, Target: chosen.primary.ID, PromptTokens: req.PromptTokens, MaxOutputTokens: req.MaxOutputTokens,
-		FirstEventSLO: req.FirstEventSLO, EventGapSLO: req.EventGapSLO, SplitMemory: chosen.splitMemory,
+		FirstEventSLO: req.FirstEventSLO, EventGapSLO: req.EventGapSLO, SplitMemory: chosen.splitMemory, Customer: b.customerOf(req),
 	}
 	p := &Placement{
 		Target: chosen.primary.Target, PredictedFirstEvent: clock.Millis(chosen.firstEvent),
@@ -373,6 +384,9 @@
 	b.placedAt[r.Number] = now
 	b.addRequest(now, requestKey{b.Self, r.Number}, r)
 	p.limited = chosen.primary.cold.limited
+	if r.Customer != 0 {
+		b.recordUse(now, r, b.weightOf(req))
+	}
 	b.pending.Placed = append(b.pending.Placed, r)
 	b.flush()
 	return p
--- a/internal/board/broadcast.go
+++ b/internal/board/broadcast.go
@@ -86,6 +86,7 @@
 	}
 	b.forgetDeparted(now)
 	b.endDoubtfulEvacuations(now)
+	b.forgetReduced(now)
 	for k, r := range b.requests {
 		if k.owner != b.Self && now-r.lastHeard >= instanceTimeout {
 			b.removeRequest(k)
@@ -126,6 +127,7 @@
 		switch {
 		case !b.refresh(now, k):
 			b.addRequest(now, k, r)
+			b.recordUse(now, r, 0)
 			b.remotePlacements.add(now)
 		case r.FirstEventSeen:
 			b.recordFirstEvent(k, 0) // in case the datagram that reported the first event was lost
@@ -135,6 +137,7 @@
 		b.recordFirstEvent(requestKey{p.From, e.Number}, now-e.Age)
 	}
 	for _, number := range p.Ended {
+		b.recordEnd(now, requestKey{p.From, number})
 		b.removeRequest(requestKey{p.From, number})
 	}
 	for _, change := range p.Limits {
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -45,6 +45,7 @@
 	firstEvent  float64 // predicted, milliseconds from now
 	cost        float64
 	startCost   float64 // part of the cost that keeps requests from engines that have just started; nothing is lost by it
+	othersLoss  float64 // the part of cost that other requests lose
 }
 
 // chooseEngines returns the choice of one engine, or of several for a long prompt, by which the request and those that it
@@ -225,8 +226,9 @@
 		}
 	}
 	for _, lost := range losses {
-		total.cost += lost
+		total.othersLoss += lost
 	}
+	total.cost += total.othersLoss
 	total.firstEvent += primary.firstEvent - primary.prefillEnd
 	total.cost += req.loss(total.firstEvent) + extraPartCost*req.value()*float64(len(chosen)-1)
 	return total
--- a/internal/board/error.go
+++ b/internal/board/error.go
@@ -16,6 +16,7 @@
 	Quiet     Kind = "quiet"     // all targets of the service want no requests for a while
 	Stopped   Kind = "stopped"   // the instance is shutting down
 	Evacuated Kind = "evacuated" // all targets of the service are in evacuated zones
+	Share     Kind = "share"     // all targets are in use, and its customer uses far more than its share
 )
 
 // Error is a failure to place a request.
--- a/internal/board/scarce.go
+++ b/internal/board/scarce.go
@@ -1,6 +1,9 @@
 package board
 
-import "github.com/corianderpier/corianderpier/internal/model"
+import (
+	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/model"
+)
 
 const (
 	scarceSlots  = 0.95 // share of all slots in use from which they are scarce
@@ -51,8 +54,8 @@
 
 // admit returns the error for a request that would cost others more than it is worth: those that it delays, and those that are still
 // to come, by the engine time and the slot that it takes.
-func admit(req Requirements, engine model.Engine, targets []*targetState, chosen choice) error {
-	cost := chosen.cost - chosen.startCost + timePrice(targets)*engine.PrefillTime(req.PromptTokens)
+func (b *Board) admit(now clock.Millis, req Requirements, engine model.Engine, targets []*targetState, chosen choice) error {
+	cost := b.admissionCost(now, req, targets, chosen)
 	if cost > req.value() {
 		return &Error{Op: "place", Kind: Costly}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -260,6 +260,8 @@
 		return Quiet
 	case board.Evacuated:
 		return Evacuated
+	case board.Share:
+		return Share
 	default:
 		return Full
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -26,12 +26,12 @@
 type Request struct {
 	ID               string // given by the caller
 	Kind             Kind
-	Resumable        bool   // another target may continue the stream
-	LastEventID      int    // of the last event that the caller has; zero also if it has none
-	HasEvent         bool   // the caller has an event with an id, whatever that is
-	Service          string // name of the service that runs the request
-	Customer         string
-	Priority         int         // of the customer, or else of the route; 0 is highest
+	Resumable        bool        // another target may continue the stream
+	LastEventID      int         // of the last event that the caller has; zero also if it has none
+	HasEvent         bool        // the caller has an event with an id, whatever that is
+	Service          string      // name of the service that runs the request
+	Customer         string      // name; empty if the request has none
+	Priority         float64     // of the customer, or else of the route; 0 is the highest
 	ConfigVersion    uint64      // version of the configuration that the route comes from
 	Header           http.Header // end-to-end headers
 	Method           string
@@ -80,7 +80,7 @@
 	return board.Requirements{
 		ID: r.ID, Service: r.Service, PromptTokens: r.PromptTokens, MaxOutputTokens: r.MaxOutputTokens,
 		FirstEventSLO: r.FirstEventSLO, EventGapSLO: r.EventGapSLO, Elapsed: now - waitingSince, Deadline: r.deadline(),
-		Exclude: exclude, Begun: p.responseStarted,
+		Exclude: exclude, Begun: p.responseStarted, Customer: r.Customer, Priority: r.Priority,
 	}
 }
 
@@ -122,6 +122,7 @@
 	BodyLate     Reason = "body_late"      // the body did not come in time
 	NoMemory     Reason = "memory"         // the instance has no memory for the request
 	Evacuated    Reason = "evacuated"      // all targets of the service are in evacuated availability zones
+	Share        Reason = "share"          // all targets are in use, and the customer uses far more than its share
 )
 
 // Refusal is the answer to a caller that gets none from a target.
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -49,6 +49,9 @@
 	return queue.Need{Service: s.Service, Tokens: max(0, s.PromptTokens+s.MaxOutputTokens), Excluding: len(s.exclude) > 0}
 }
 
+// maxWaitPriority is the lowest priority that is told from a lower one while requests wait.
+const maxWaitPriority = 100
+
 // entry returns the request as it joins the queue. Its longest wait is set when it first does so, and holds for all its attempts; a later
 // wait ends sooner if it would exceed the allowed part of the time left by then.
 func (s *requestState) entry() *queue.Entry {
@@ -58,7 +61,7 @@
 		s.longestWait = s.relay.Room.Queue.Limits().LongestWait(s.FirstEventSLO, left)
 	}
 	return &queue.Entry{
-		Need: s.need(), Customer: s.Customer, Priority: s.Priority, Arrived: s.Arrived, Since: now - s.waited,
+		Need: s.need(), Customer: s.Customer, Priority: int(min(s.Priority, maxWaitPriority)), Arrived: s.Arrived, Since: now - s.waited,
 		Longest: min(s.longestWait, s.waited+left/queue.LeftParts), Begun: s.responseStarted,
 	}
 }
--- a/internal/relay/waitrandom_test.go
+++ b/internal/relay/waitrandom_test.go
@@ -52,7 +52,7 @@
 			for n := range callers {
 				kinds[n] = Kind(random(3))
 				request := waitingRequest(strconv.Itoa(n), kinds[n])
-				request.Priority, request.FirstEventSLO = random(4), clock.Millis(random(3000))
+				request.Priority, request.FirstEventSLO = float64(random(4)), clock.Millis(random(3000))
 				request.Deadline = request.Arrived + clock.Millis(50+random(3000))
 				ctx, leave := context.WithCancel(t.Context())
 				if random(4) == 0 {
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -117,6 +117,7 @@
 	"body_too_large":   "refused: its body was longer than max_body_bytes; it has not run",
 	"header_too_large": "refused: its head was longer than max_header_bytes; it has not run",
 	"evacuated":        "refused: all targets of the service were in evacuated availability zones; it has not run",
+	"share":            "refused: all targets were in use and the customer used far more than its share; it has not run",
 }
 
 // Explanation explains how the request ended, or why the logs do not show its end.
