--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -67,7 +67,7 @@
 	remotePlacements placementRate
 	shares           shareState
 	limitNamed       atomic.Bool // some target has named a rate limit
-	coldNamed        atomic.Bool // some target is cold, or was until lately
+	anyLimited       atomic.Bool // the rates of some target are limited, see limitCold
 	cell             cell
 	listed           bool                   // there was a list of targets
 	evacuations      map[string]*evacuation // by zone
@@ -314,9 +314,8 @@
 	}
 }
 
-// eligibleTargets returns the targets that may run a request. If there are none in the cell, it falls back to those of other
-// cells, then to ejected targets, for hedges then to cold ones, to the targets that the request excludes, and then to those of zones whose
-// evacuation is in doubt.
+// eligibleTargets returns the targets that may run a request: the first of these groups that is not empty. Usable ones of the cell; those
+// of other cells; ejected ones; for a hedge, cold ones; those that the request excludes; those of zones whose evacuation is in doubt.
 func (b *Board) eligibleTargets(now clock.Millis, req Requirements, inCell func(target string) bool) (eligible []*targetState, short shortage) {
 	var usable, elsewhere, ejected, cold, excluded, doubtful []*targetState
 	for _, s := range b.targets {
@@ -337,7 +336,7 @@
 			doubtful = append(doubtful, s)
 		case req.Exclude[s.ID]:
 			excluded = append(excluded, s)
-		case req.Hedge && s.cold.limited && now < s.cold.end():
+		case req.Hedge && s.cold.isCold(now):
 			cold = append(cold, s)
 		case s.usable(now) && inCell(s.ID):
 			usable = append(usable, s)
@@ -383,7 +382,7 @@
 	b.ownRequests[r.Number] = &r
 	b.placedAt[r.Number] = now
 	b.addRequest(now, requestKey{b.Self, r.Number}, r)
-	p.limited = chosen.primary.cold.limited
+	p.tokenTaken = chosen.primary.cold.limited
 	if r.Customer != 0 {
 		b.recordUse(now, r, b.weightOf(req))
 	}
--- a/internal/board/broadcast.go
+++ b/internal/board/broadcast.go
@@ -71,7 +71,7 @@
 func (b *Board) rebroadcastAndExpire() {
 	now := clock.Now()
 	b.noteCell(now)
-	b.noteWarm(now)
+	b.updateCold(now)
 	b.broadcastOwn(now)
 	b.broadcastCold(now, false)
 	for id, s := range b.targets {
--- a/internal/board/cell.go
+++ b/internal/board/cell.go
@@ -5,16 +5,16 @@
 const (
 	cellInterval = 100 * clock.Millis(1) // between looks at which instances are active
 	cellMemory   = 10 * clock.Second     // for which an instance counts as active, so that views which miss some do not raise the sum of the rates
-	unknownCell  = 24                    // instances that a cell may have, assumed until this one has joined
+	unknownCell  = 24                    // instances assumed until this one has joined: the most that a cell has, active.maxCellInstances
 )
 
 // cell is what this instance knows of the instances with which it shares the rates of cold targets. The zero value is a cell of
 // which nothing is known; see Board.Cell.
 type cell struct {
-	alone    bool                    // there are no others
+	noOthers bool                    // there are no others
 	seen     map[string]clock.Millis // when each was last active, by name
 	joinedAt clock.Millis            // when this instance had joined the others; zero before
-	told     bool                    // another one has told all that it knows of cold targets
+	synced   bool                    // another instance has sent all that it knows of cold targets
 	notedAt  clock.Millis            // when it was last looked which are active
 }
 
@@ -40,7 +40,7 @@
 func (c *cell) size(now clock.Millis) int {
 	n := 1
 	switch {
-	case c.alone:
+	case c.noOthers:
 		return n
 	case c.joinedAt == 0:
 		n = unknownCell
@@ -56,18 +56,18 @@
 
 // settled reports whether this instance has joined long enough ago for the others to count it.
 func (c *cell) settled(now clock.Millis) bool {
-	return c.alone || c.joinedAt > 0 && now >= c.joinedAt+coldSettleTime
+	return c.noOthers || c.joinedAt > 0 && now >= c.joinedAt+coldSettleTime
 }
 
 // uncertain reports whether targets may be cold without this instance having been told.
 func (c *cell) uncertain(now clock.Millis) bool {
-	return !c.settled(now) && (c.joinedAt == 0 || !c.told)
+	return !c.settled(now) && (c.joinedAt == 0 || !c.synced)
 }
 
 // noteCell records the instances of the cell that are active now, unless it has just done so.
 func (b *Board) noteCell(now clock.Millis) {
 	if b.Cell == nil {
-		b.cell.alone = true
+		b.cell.noOthers = true
 		return
 	}
 	if now-b.cell.notedAt < cellInterval {
@@ -76,4 +76,7 @@
 	b.cell.notedAt = now
 	members, joined := b.Cell()
 	b.cell.note(now, members, joined)
+	if b.cell.uncertain(now) {
+		b.anyLimited.Store(true) // until the next updateCold
+	}
 }
--- a/internal/board/cold.go
+++ b/internal/board/cold.go
@@ -14,9 +14,9 @@
 	maxColdTime    = clock.Hour             // for which a target may be cold; a longer time counts as this
 	coldRampTime   = 3 * clock.Second       // after the cold time, in each second of which the rates double
 	coldSettleTime = 1500 * clock.Millis(1) // after this instance has joined: by then the others know it and have told which targets are cold
-	coldDebtTime   = clock.Second           // after which requests that others have sent too many of delay none any more: the bound is on one second
+	coldDebtTime   = clock.Second           // of requests at the shared rate: more debt than that is forgotten, as the bound is on one second
 	coldMinWait    = 300 * clock.Millis(1)  // after which a caller may try again that found only cold targets
-	coldNewsMargin = 500 * clock.Millis(1)  // by which a cold time must be prolonged to be news, as its end is known only up to the delay of answers
+	coldNewsMargin = 500 * clock.Millis(1)  // differences below this may be the delay of answers and broadcasts: they are not broadcast, and end no cold time
 	slowStartTime  = 3 * clock.Second       // from a target's start or return, in which its additional cost decays
 )
 
@@ -63,15 +63,15 @@
 
 // coldState is what this instance knows of a target that is cold, or was, and of its start.
 type coldState struct {
-	until     [numColdSources]clock.Millis // end of the cold time by source; zero if the source gave none
-	namedAt   clock.Millis                 // when this instance or another last learned that it is cold
-	learnedAt clock.Millis                 // when this instance last did
-	announced bool                         // its cold time is logged, and its end is not
-	startedAt clock.Millis                 // when it was newly listed or returned; zero if it was there before this instance
-	limited   bool                         // as of the last Board.limitCold: the buckets are in use
-	shared    bucket                       // of all instances that are heard
-	own       bucket                       // of this instance
-	sent      bucket                       // of what this instance has sent, see Placement.MaySend
+	until      [numColdSources]clock.Millis // end of the cold time by source; zero if the source gave none
+	reportedAt clock.Millis                 // when any source last reported a cold time
+	learnedAt  clock.Millis                 // when this instance last did
+	announced  bool                         // its cold time is logged, and its end is not
+	startedAt  clock.Millis                 // when it was newly listed or returned; zero if it was there before this instance
+	limited    bool                         // as of the last Board.limitCold: the buckets are in use
+	shared     bucket                       // of all instances that are heard
+	own        bucket                       // of this instance
+	sent       bucket                       // of what this instance has sent, see Placement.MaySend
 }
 
 // end returns the end of the cold time, or zero if the target never was cold.
@@ -102,9 +102,10 @@
 	return ended
 }
 
-// finishTold is finish for a word that may be older than what was told of the target just now, which then stays.
-func (c *coldState) finishTold(now clock.Millis, sources ...coldSource) {
-	if now-c.namedAt >= coldNewsMargin {
+// finishUnlessRecent is finish for an end that may be older than the latest report that the target is cold: within coldNewsMargin of that
+// report it changes nothing.
+func (c *coldState) finishUnlessRecent(now clock.Millis, sources ...coldSource) {
+	if now-c.reportedAt >= coldNewsMargin {
 		c.finish(now, sources...)
 	}
 }
@@ -162,7 +163,7 @@
 	}
 	end, until := s.cold.end(), now+min(left, maxColdTime)
 	if source <= fromReturn {
-		s.cold.namedAt, s.cold.learnedAt = now, now
+		s.cold.reportedAt, s.cold.learnedAt = now, now
 	}
 	if until <= s.cold.until[source] {
 		return false
@@ -170,7 +171,7 @@
 	b.limitCold(now, s) // as of before the change: buckets that were not in use start empty
 	s.cold.until[source] = until
 	b.limitCold(now, s)
-	b.coldNamed.Store(true)
+	b.anyLimited.Store(true)
 	if s.cold.limited && !s.cold.announced {
 		s.cold.announced = true
 		slog.Info("target cold", "target", s.ID, "source", coldSourceNames[source], "left_ms", int64(until-now))
@@ -190,11 +191,11 @@
 	}
 	if s.WarmupLeft == 0 {
 		s.cold.finish(now, fromEntry)
-		s.cold.finishTold(now, entryOfOther)
+		s.cold.finishUnlessRecent(now, entryOfOther)
 	}
 	b.limitCold(now, s)
 	if b.prolongCold(now, s, fromEntry, s.WarmupLeft) {
-		b.tellCold(s.told(now))
+		b.announceCold(s.told(now))
 	}
 }
 
@@ -203,30 +204,29 @@
 func (b *Board) noteAnswered(now clock.Millis, s *targetState, n ColdNotice) {
 	if n.Left > 0 {
 		if b.prolongCold(now, s, fromAnswer, n.Left) {
-			b.tellCold(s.told(now))
+			b.announceCold(s.told(now))
 			b.flush()
 		}
 		return
 	}
-	if n.AskedAt > s.cold.namedAt && s.cold.finish(now, fromEntry, fromAnswer, entryOfOther, answerOfOther) {
+	if n.AskedAt > s.cold.reportedAt && s.cold.finish(now, fromEntry, fromAnswer, entryOfOther, answerOfOther) {
 		change := s.told(now)
 		change.Ended = true
-		b.tellCold(change)
+		b.announceCold(change)
 	}
 }
 
-// noteWarm logs the end of cold times.
-func (b *Board) noteWarm(now clock.Millis) {
-	cold := false
+// updateCold refreshes the rates of all targets, logs the end of cold times, and records whether any rates are limited.
+func (b *Board) updateCold(now clock.Millis) {
+	limited := false
 	for id, s := range b.targets {
-		b.limitCold(now, s)
+		limited = b.limitCold(now, s) || limited
 		if s.cold.announced && now >= s.cold.end() {
 			s.cold.announced = false
 			slog.Info("target warm", "target", id, "requests", s.runningCount())
 		}
-		cold = cold || s.cold.factor(now) > 0
 	}
-	b.coldNamed.Store(cold)
+	b.anyLimited.Store(limited)
 }
 
 // limitCold sets the rates at which a target may get requests now, and reports whether they are limited as it is cold, or was until
--- a/internal/board/coldnews.go
+++ b/internal/board/coldnews.go
@@ -41,8 +41,8 @@
 	}
 }
 
-// tellCold broadcasts a change of a target's cold time with the next flush, or at once if a datagram is full.
-func (b *Board) tellCold(change TargetCold) {
+// announceCold broadcasts a change of a target's cold time with the next flush, or at once if a datagram is full.
+func (b *Board) announceCold(change TargetCold) {
 	if b.pending.Cold == nil {
 		b.pending.Cold = &coldNews{}
 	}
@@ -82,7 +82,7 @@
 	for _, t := range news.Targets {
 		b.applyTargetCold(now, t)
 	}
-	b.cell.told = b.cell.told || news.All
+	b.cell.synced = b.cell.synced || news.All
 }
 
 // applyTargetCold applies what another instance has told of one target. Its end is not applied right after the target was said to be
@@ -98,10 +98,10 @@
 		metrics.GetOrCreateCounter(`pier_board_cold_invalid_total`).Inc()
 	}
 	if t.Ended {
-		s.cold.finishTold(now, fromEntry, fromAnswer, entryOfOther, answerOfOther)
+		s.cold.finishUnlessRecent(now, fromEntry, fromAnswer, entryOfOther, answerOfOther)
 	}
 	if max(t.Left, t.Returned, t.Entry) > 0 {
-		s.cold.namedAt = max(s.cold.namedAt, now-max(0, t.Age)) // what is repeated is no newer than when it was learned
+		s.cold.reportedAt = max(s.cold.reportedAt, now-max(0, t.Age)) // what is repeated is no newer than when it was learned
 	}
 	b.prolongCold(now, s, returnOfOther, t.Returned)
 	b.prolongCold(now, s, entryOfOther, t.Entry)
--- a/internal/board/coldsend.go
+++ b/internal/board/coldsend.go
@@ -15,7 +15,7 @@
 // token. A request that may not be sent is to be placed anew.
 func (p *Placement) MaySend() bool {
 	b := p.board
-	if !b.coldNamed.Load() {
+	if !b.anyLimited.Load() {
 		return true // each request asks, so that this costs a call to the loop only while a target is cold
 	}
 	may := true
@@ -29,7 +29,7 @@
 	if s == nil || !b.limitCold(now, s) {
 		return true
 	}
-	covered := p.limited && p.Target.Born == s.Born
+	covered := p.tokenTaken && p.Target.Born == s.Born
 	if reason := b.sendHindrance(now, s, covered, now-b.placedAt[p.number] > coldSendDelay); reason != "" {
 		metrics.GetOrCreateCounter(`pier_board_cold_unsent_total{reason="` + reason + `"}`).Inc()
 		return false
--- a/internal/board/coldsend_test.go
+++ b/internal/board/coldsend_test.go
@@ -48,7 +48,7 @@
 			}
 			is.True(b.maySend(start+1, waiting[0])) // the target is warm
 			makeCold(b, start+2)
-			is.True(b.coldNamed.Load()) // or MaySend does not ask
+			is.True(b.anyLimited.Load()) // or MaySend does not ask
 			sent := sendAll(b, start+2, start+2+clock.Second, waiting)
 			is.True(len(sent) > 0)
 			is.True(len(sent) <= mostPerSecond)
--- a/internal/board/coldviews_test.go
+++ b/internal/board/coldviews_test.go
@@ -138,7 +138,7 @@
 func (c *coldSim) tell() {
 	for _, name := range c.names {
 		b := c.boards[name]
-		if c.news && c.now >= c.joined[name]+coldSimLate && !b.cell.told {
+		if c.news && c.now >= c.joined[name]+coldSimLate && !b.cell.synced {
 			left := coldSimStart + clock.Minute - c.now
 			b.applyPacket(c.now, packet{From: "teller", Cold: &coldNews{Targets: []TargetCold{{Target: "plain-0", Born: 1, Left: left}}, All: true}})
 		}
--- a/internal/board/error.go
+++ b/internal/board/error.go
@@ -11,7 +11,7 @@
 	TooLarge  Kind = "too large" // the engines' memory cannot hold it, even if they were idle
 	Full      Kind = "full"      // no engine has enough free memory at present
 	Costly    Kind = "costly"    // its predicted cost, by its own lateness and by delay to others, exceeds its value
-	Scarce    Kind = "scarce"    // all slots are in use, and it would be late
+	Scarce    Kind = "scarce"    // nearly all slots are in use, and it would be late
 	Limited   Kind = "limited"   // all targets of the service have reached the rate limits that they name, or bear while they are cold
 	Quiet     Kind = "quiet"     // all targets of the service want no requests for a while
 	Stopped   Kind = "stopped"   // the instance is shutting down
--- a/internal/board/leave.go
+++ b/internal/board/leave.go
@@ -38,7 +38,7 @@
 // RecordNotice does the same for an answer to anything but a placed request. A notice of an earlier start of the target is
 // ignored.
 func (b *Board) RecordNotice(t Target, n Notice) {
-	if !n.Leaving && n.Quiet == 0 && n.Cold.Left == 0 && !b.coldNamed.Load() {
+	if !n.Leaving && n.Quiet == 0 && n.Cold.Left == 0 && !b.anyLimited.Load() {
 		return // no target is cold, so that there is nothing to end
 	}
 	b.Loop.Post(func() { b.recordNotice(t, n) })
--- a/internal/board/placement.go
+++ b/internal/board/placement.go
@@ -25,13 +25,13 @@
 	PartMemory          int          // tokens that the target and each helper keep in memory; zero if the target has the memory for the whole prompt
 	PredictedFirstEvent clock.Millis // time to the first event; zero for a plain service
 
-	board    *Board
-	number   uint64        // see ActiveRequest.Number
-	limited  bool          // it took a token of a cold target, see MaySend
-	down     chan struct{} // see TargetDown
-	downOnce sync.Once
-	lost     chan struct{} // see LinkLost
-	lostOnce sync.Once
+	board      *Board
+	number     uint64        // see ActiveRequest.Number
+	tokenTaken bool          // of its target, whose rates were limited then; see MaySend
+	down       chan struct{} // see TargetDown
+	downOnce   sync.Once
+	lost       chan struct{} // see LinkLost
+	lostOnce   sync.Once
 }
 
 // HelperIDs returns the ids of the engines that prefill a part of the prompt.
--- a/internal/board/scarce.go
+++ b/internal/board/scarce.go
@@ -14,13 +14,18 @@
 func scarcity(targets []*targetState) float64 {
 	running, slots := 0, 0
 	for _, s := range targets {
+		if s.schedule.Engine.Slots <= 0 {
+			return 0 // there is no limit
+		}
 		running += s.runningCount()
 		slots += s.schedule.Engine.Slots
 	}
-	used := float64(running) / float64(max(slots, 1))
-	return min(1, max(0, used-scarceSlots)/(1-scarceSlots))
+	return above(float64(running)/float64(max(slots, 1)), scarceSlots)
 }
 
+// above returns by how much a part exceeds a limit, from 0 up to the limit to 1 for the whole.
+func above(part, limit float64) float64 { return max(0, min(part, 1)-limit) / (1 - limit) }
+
 // slotPrice returns the value of a slot for a millisecond to requests that are still to come, in tokens: nothing while slots are free,
 // and a share of what the present requests get from their slots when all are in use. Then a request that would be late anyway
 // leaves its slot to one that is not.
@@ -55,14 +60,19 @@
 // admit returns the error for a request that would cost others more than it is worth: those that it delays, and those that are still
 // to come, by the engine time and the slot that it takes.
 func (b *Board) admit(now clock.Millis, req Requirements, engine model.Engine, targets []*targetState, chosen choice) error {
-	cost := b.admissionCost(now, req, targets, chosen)
-	if cost > req.value() {
-		return &Error{Op: "place", Kind: Costly}
-	}
+	cost := b.price(now, req, targets, chosen)
 	sequences, context := chosen.primary.schedule.DecodingLoad()
 	slot := slotTime(engine, req.PromptTokens/(1+len(chosen.helpers)), req.MaxOutputTokens, sequences, context)
-	if cost+slotPrice(targets)*slot > req.value() {
-		return &Error{Op: "place", Kind: Scarce}
+	var refused Kind
+	switch {
+	case cost.total > req.value():
+		refused = Costly
+	case cost.total+slotPrice(targets)*slot > req.value():
+		refused = Scarce
+	}
+	b.recordOffer(now, req, engine, cost, refused)
+	if refused != "" {
+		return &Error{Op: "place", Kind: refused}
 	}
 	return nil
 }
--- a/internal/board/scarce_test.go
+++ b/internal/board/scarce_test.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/share"
 )
 
 // fillSlots places short prompts that have begun to be answered until one is refused, and returns the placements.
@@ -60,3 +61,37 @@
 	})
 	is.Equal(price, 0.0)
 }
+
+// Guards against: engines without a limit of requests count as full as soon as one runs, so that what is late is refused there.
+func TestNoSlotLimitIsNotScarce(t *testing.T) {
+	is := is.New(t)
+	b := newBoards(t, 1, 1)[0]
+	_, err := fillSlots(t, b, 2)
+	is.NoErr(err)
+	b.Loop.Call(func() {
+		targets, _ := b.eligibleTargets(clock.Now(), short, anyCell)
+		targets[0].schedule.Engine.Slots = 0
+		is.Equal(scarcity(targets), 0.0)
+	})
+}
+
+// Guards against: a request that is refused for want of slots counts as placed in its customer's share, so that one that is refused
+// each time does not count as starved.
+func TestScarceCountsAsRefused(t *testing.T) {
+	is := is.New(t)
+	boards := newBoards(t, 1, 2)
+	weighted(boards, "importer", "desk")
+	b := boards[0]
+	b.Loop.Call(func() {
+		now := clock.Now()
+		for range 10 {
+			req := short
+			req.Customer = "importer"
+			b.recordOffer(now, req, testEngine, admission{}, "")
+			req.Customer = "desk"
+			b.recordOffer(now, req, testEngine, admission{}, Scarce)
+		}
+		is.True(b.ledger(short.Service).Starved(share.CustomerOf("desk")))
+		is.True(!b.ledger(short.Service).Starved(share.CustomerOf("importer")))
+	})
+}
--- a/internal/board/share.go
+++ b/internal/board/share.go
@@ -105,23 +105,29 @@
 // engineTime returns the part of an engine's time that a request takes: the whole engine while it is prefilled, and one slot of it
 // while its answer is generated.
 func engineTime(e model.Engine, prompt, output int) float64 {
-	time := e.PrefillTime(prompt)
+	prefill := e.PrefillTime(prompt)
 	if e.Slots <= 0 {
-		return time
+		return prefill
 	}
-	passes := float64(output) / float64(max(e.StepsPerPass, 1))
-	return time + passes*e.DecodePassTime(1, prompt)/float64(e.Slots)
+	return prefill + e.Passes(output)*e.DecodePassTime(1, prompt)/float64(e.Slots)
 }
 
-// admissionCost returns what a request costs: what it and others lose by the choice, and the price of the engine time by the customer's
-// share. While the engines are short of capacity, a customer over its share pays the factor for crowding and for the slot too.
-func (b *Board) admissionCost(now clock.Millis, req Requirements, targets []*targetState, chosen choice) float64 {
-	price := timePrice(targets) * targets[0].schedule.Engine.PrefillTime(req.PromptTokens)
+// admission is what a request costs, by which it is placed or refused.
+type admission struct {
+	usual float64 // what it and others lose by the choice, and the price of the engine time
+	total float64 // the same by the share of its customer
+}
+
+// price returns what a request costs. While the engines are short of capacity, a customer over its share pays the factor for crowding and
+// for the slot too.
+func (b *Board) price(now clock.Millis, req Requirements, targets []*targetState, chosen choice) admission {
+	engine := targets[0].schedule.Engine
+	price := timePrice(targets) * engine.PrefillTime(req.PromptTokens)
 	cost := chosen.cost - chosen.startCost + price
 	if !b.sharesInForce() {
-		return cost
+		return admission{usual: cost, total: cost}
 	}
-	engine, ledger, customer := targets[0].schedule.Engine, b.ledger(req.Service), share.CustomerOf(req.Customer)
+	ledger, customer := b.ledger(req.Service), share.CustomerOf(req.Customer)
 	factor := ledger.Factor(now, customer, b.weightOf(req), float64(len(targets))*float64(share.Window))
 	crowding := chosen.crowding(req, engine.PartPrefillTime(req.PromptTokens, 1+len(chosen.helpers)))
 	lastSlots := chosen.primary.lastSlotsPrice()
@@ -129,18 +135,25 @@
 		price += crowding + lastSlots*req.value()
 	}
 	total := cost + (factor-1)*price
-	tooCostly := total > req.value()
-	if tooCostly || crowding > shortFrom*req.value() {
+	if total > req.value() || crowding > shortFrom*req.value() {
 		b.shares.shortUntil[req.Service] = now + shortTime
 	}
-	ledger.RecordOffer(now, customer, engineTime(engine, req.PromptTokens, req.MaxOutputTokens), tooCostly)
+	return admission{usual: cost, total: total}
+}
+
+// recordOffer records whether a request was refused, and whether that was for the share of its customer.
+func (b *Board) recordOffer(now clock.Millis, req Requirements, engine model.Engine, a admission, refused Kind) {
+	if !b.sharesInForce() {
+		return
+	}
+	use := engineTime(engine, req.PromptTokens, req.MaxOutputTokens)
+	b.ledger(req.Service).RecordOffer(now, share.CustomerOf(req.Customer), use, refused != "")
 	switch {
-	case tooCostly && cost <= req.value():
+	case refused == Costly && a.usual <= req.value():
 		b.noteReduced(now, req, "costly")
-	case !tooCostly && cost > req.value():
+	case refused == "" && a.usual > req.value():
 		countShare("favoured")
 	}
-	return total
 }
 
 // crowding returns the part of a choice's cost that is due to a lack of capacity: what other requests lose, and what the request
@@ -157,8 +170,7 @@
 	if slots <= 0 {
 		return 0 // there is no limit
 	}
-	used := min(1, float64(s.runningCount())/float64(slots))
-	return max(0, used-fewSlotsFrom) / (1 - fewSlotsFrom)
+	return above(float64(s.runningCount())/float64(slots), fewSlotsFrom)
 }
 
 // overShare returns for how long the customer of a request to a plain service is to wait, as all slots are in use and it uses far
--- a/internal/queue/entry.go
+++ b/internal/queue/entry.go
@@ -7,8 +7,8 @@
 	"github.com/corianderpier/corianderpier/internal/clock"
 )
 
-// LeftParts is the number of equal parts of the time left before its deadline of which a request may wait one. Callers honour Retry-After
-// up to the same part.
+// LeftParts divides the time that a request has left before its deadline: it may wait for one such part, and callers honour Retry-After up
+// to the same time.
 const LeftParts = 3
 
 const levelsPerWait = 2 // priorities by which an entry rises within its longest wait
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -234,13 +234,12 @@
 	switch kind {
 	case NotSent:
 		return s.handleNotSent(a)
-	case TargetEvacuated:
-		a.placement.End(board.Inconclusive)
-		countFailedAttempt(string(kind))
-		return "", placedAnew
-	case Withheld:
+	case TargetEvacuated, Withheld:
 		a.placement.End(board.Inconclusive)
 		countFailedAttempt(string(kind))
+		if kind == TargetEvacuated {
+			return "", placedAnew // its target may be chosen again when the evacuation has ended
+		}
 		return "", freeFollowUp
 	}
 	s.mayHaveRun = true
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -207,9 +207,8 @@
 // caller may try again then.
 func (s *requestState) refuseUnplaced(err error) string {
 	reason := refusalReason(err)
-	var e *board.Error
-	if eris.As(err, &e) && e.Wait > 0 {
-		return s.refuseFor(reason, e.Wait)
+	if wait := waitOf(err); wait > 0 {
+		return s.refuseFor(reason, wait)
 	}
 	return s.refuse(reason)
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -106,7 +106,7 @@
 	NoTarget     Reason = "no_target"      // the service has no target
 	TooLarge     Reason = "too_large"      // no engine can hold the prompt
 	Costly       Reason = "costly"         // the engines are busy, and the prompt would make other requests miss their objectives
-	Scarce       Reason = "scarce"         // the engines' slots are in use, and the answer would be late
+	Scarce       Reason = "scarce"         // nearly all slots of the engines are in use, and the answer would be late
 	Full         Reason = "full"           // no engine has enough free memory, or the request cannot be placed for another reason
 	Limited      Reason = "limited"        // all targets have reached the rate limits that they name, or bear while they are cold
 	Quiet        Reason = "quiet"          // all targets want no requests for a while
--- a/internal/serve/limits.go
+++ b/internal/serve/limits.go
@@ -122,7 +122,7 @@
 	if len(data) == 0 {
 		return true
 	}
-	if most := c.limits.headBytes(); most > 0 && c.headBytes()-headSlack > most {
+	if most := c.limits.maxHead(); most > 0 && c.unhandledBytes()-headSlack > most {
 		c.refuse(http.StatusRequestHeaderFieldsTooLarge, "header_too_large", "")
 		return false
 	}
@@ -134,8 +134,8 @@
 	return true
 }
 
-// headBytes returns the size of the longest head that is read whole.
-func (l Limits) headBytes() int {
+// maxHead returns the size of the longest head that is read whole.
+func (l Limits) maxHead() int {
 	if l.HeadBytes == nil {
 		return 0
 	}
--- a/internal/serve/unhandled.go
+++ b/internal/serve/unhandled.go
@@ -48,8 +48,8 @@
 	u.evicted = reason
 }
 
-// headBytes returns how many bytes of a request have come that no handler has seen yet.
-func (u *unhandled) headBytes() int {
+// unhandledBytes returns how many bytes of a request have come that no handler has seen yet.
+func (u *unhandled) unhandledBytes() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.bytes
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -97,7 +97,7 @@
 	"answered":         "a target answered, and the whole answer was forwarded",
 	"error":            "the target itself answered with an error, which was forwarded",
 	"caller_gone":      "the caller closed its connection; see left_ms for whether its deadline had passed",
-	"scarce":           "refused: all slots of the engines were in use, and the answer would have been late; it has not run",
+	"scarce":           "refused: nearly all slots of the engines were in use, and the answer would have been late; it has not run",
 	"costly":           "refused: the engines were loaded and the prompt would have delayed other requests past their limits; it has not run",
 	"full":             "refused: no engine had enough free memory; it has not run",
 	"too_large":        "refused: all engines together have too little memory; it has not run",
