board: Let one instance tell of the cold times in the list

Change: all read the list themselves; the instance that probes a target tells those whose list is older. Answers and returns are told as before. TestColdEntriesToldByOne counts 24 tellers without the change.

--- a/internal/board/cold.go
+++ b/internal/board/cold.go
@@ -194,7 +194,7 @@
 		s.cold.finishUnlessRecent(now, entryOfOther)
 	}
 	b.limitCold(now, s)
-	if b.prolongCold(now, s, fromEntry, s.WarmupLeft) {
+	if b.prolongCold(now, s, fromEntry, s.WarmupLeft) && b.announcesEntry(s.ID) {
 		b.announceCold(s.told(now))
 	}
 }
--- a/internal/board/colddebt_test.go
+++ b/internal/board/colddebt_test.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -45,3 +46,20 @@
 	is.Equal(len(ranked), 1)
 	is.Equal(ranked[0].ID, "engine-2")
 }
+
+// Guards against: when hundreds of targets start at once, each instance of the cell tells all others of each of them.
+func TestColdEntriesToldByOne(t *testing.T) {
+	is := is.New(t)
+	now := clock.Now()
+	told := 0
+	for n := range 24 {
+		b := newIdleBoard(fmt.Sprintf("entry-%d", n))
+		b.Monitors = func(string) bool { return n == 0 }
+		b.Broadcast = func([]byte) { told++ }
+		applyList(b, now)
+		applyList(b, now, coldDesk(1, clock.Second)...)
+		b.broadcastCold(now, false)
+		b.flush()
+	}
+	is.Equal(told, 1)
+}
--- a/internal/board/coldnews.go
+++ b/internal/board/coldnews.go
@@ -54,6 +54,11 @@
 	b.scheduleFlush()
 }
 
+// announcesEntry reports whether this instance tells others of the cold time in a target's entry. All read the list themselves, and one
+// of them tells those whose list is older: the instance that probes the target. If all did, hundreds of targets that start at once
+// would cost each instance megabytes.
+func (b *Board) announcesEntry(target string) bool { return b.Monitors == nil || b.Monitors(target) }
+
 // broadcastCold broadcasts the targets of which this instance has learned by their answers that they are cold, for instances that have
 // missed earlier datagrams. With all it broadcasts all cold targets, for those that have joined.
 func (b *Board) broadcastCold(now clock.Millis, all bool) {
@@ -63,6 +68,9 @@
 	news := coldNews{All: all}
 	for _, s := range b.targets {
 		told := s.told(now)
+		if !b.announcesEntry(s.ID) {
+			told.Entry = 0
+		}
 		if told.Left+told.Returned+told.Entry == 0 || !all && told.Left == 0 {
 			continue
 		}
