board: Work out the time of a slot only while slots are scarce

Cause: seen on the last reading of the whole change: each placement on an engine worked out for how long the request would hold its slot, also while slots are free and have no price.

Change: slotCost asks for the price first. The decision is the same.

--- a/internal/board/scarce.go
+++ b/internal/board/scarce.go
@@ -57,17 +57,25 @@
 	return e.PrefillTime(prompt) + e.Passes(output)*e.DecodePassTime(sequences, context)
 }
 
+// slotCost returns the value of the slot that a request takes for as long as it holds it.
+func slotCost(req Requirements, engine model.Engine, targets []*targetState, chosen choice) float64 {
+	price := slotPrice(targets)
+	if price == 0 {
+		return 0
+	}
+	sequences, context := chosen.primary.schedule.DecodingLoad()
+	return price * slotTime(engine, req.PromptTokens/(1+len(chosen.helpers)), req.MaxOutputTokens, sequences, context)
+}
+
 // admit returns the error for a request that would cost others more than it is worth: those that it delays, and those that are still
 // to come, by the engine time and the slot that it takes.
 func (b *Board) admit(now clock.Millis, req Requirements, engine model.Engine, targets []*targetState, chosen choice) error {
 	cost := b.price(now, req, targets, chosen)
-	sequences, context := chosen.primary.schedule.DecodingLoad()
-	slot := slotTime(engine, req.PromptTokens/(1+len(chosen.helpers)), req.MaxOutputTokens, sequences, context)
 	var refused Kind
 	switch {
 	case cost.total > req.value():
 		refused = Costly
-	case cost.total+slotPrice(targets)*slot > req.value():
+	case cost.total+slotCost(req, engine, targets, chosen) > req.value():
 		refused = Scarce
 	}
 	b.recordOffer(now, req, engine, cost, refused)
