review: Show instances that end by a panic when all engines come back cold

chooseEngines indexes an empty list of targets: with over 48 engines, all of them cold, the shortlist leaves none.

--- a/review/standin2/hang.go
+++ b/review/standin2/hang.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -18,6 +19,7 @@
 
 // crowd sends requests from many connections, each the next one when it has an answer, until the context ends.
 type crowd struct {
+	pause    time.Duration // of a client after a refusal
 	answers  atomic.Int64
 	statuses [6]atomic.Int64
 	slowest  atomic.Int64 // milliseconds
@@ -73,6 +75,9 @@
 		if ms := time.Since(began).Milliseconds(); ms > c.slowest.Load() {
 			c.slowest.Store(ms)
 		}
+		if a.Status == http.StatusServiceUnavailable {
+			time.Sleep(c.pause)
+		}
 		if a.Header.Get("Connection") == "close" {
 			return
 		}
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -13,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -41,8 +43,11 @@
 	maxFDs    int
 	grace     string
 	cold      map[string]any // setting that bounds what cold servers get
+	settings  map[string]any // further settings
 	engine    map[string]any // of the service "engine" in the configuration
 
+	noLong atomic.Bool // no long prompts are sent, see the case cold
+
 	mu     sync.Mutex
 	record *os.File
 	began  time.Time
@@ -120,6 +125,7 @@
 			"memory": s.memoryMB, "files": s.maxFDs, "retry": map[string]any{"ratio": 0.2, "extra": 106, "window": "10s"},
 			"cold": s.cold, "level": "info",
 		}
+		maps.Copy(settings, s.settings)
 		data, err := json.MarshalIndent(settings, "", "  ")
 		must(err)
 		must(os.WriteFile(i.settings, data, 0o644))
