detour: Tell a reset from the end of an answer while a request is written

Callers saw: a worker answers a long upload at once, with a status and the signature but without a length, sends a part of the body and resets the connection while the upload is still written. The part arrived as a whole answer, also as a whole stream.

Cause: the operating system reports a reset once. If the goroutine that writes the request gets ECONNRESET, the one that reads gets io.EOF from then on, and for an answer that has no length io.EOF is its end. Which of the two gets the error is a race. A carrier has the same race between its two directions; there it told the other instance that the answer was complete.

Why this works: a connection to a target records the first write that fails. A read that gets io.EOF first ends the write in progress by a deadline and waits for it, so that an error which the system has given to a write is known by then, and returns that error in place of io.EOF. If the write ends by the deadline alone, the target has closed its side itself, and the answer is whole (TestEndWhileWriting). The connection is made where an instance dials targets, for its own requests and for those that it carries.

Ruled out: to take any answer as broken that ends before its request was written. Workers may answer before they have read a long body.

--- a/internal/detour/dialer.go
+++ b/internal/detour/dialer.go
@@ -135,7 +135,10 @@
 	if err == nil || context.Cause(ctx) != context.Canceled {
 		d.noteDirect(t, err)
 	}
-	return conn, err
+	if err != nil {
+		return nil, err
+	}
+	return newTargetConn(conn), nil
 }
 
 // noteDirect updates the state of a link after a direct dial.
--- a/internal/fake/raw.go
+++ b/internal/fake/raw.go
@@ -11,6 +11,7 @@
 type Raw struct {
 	// Answer writes the answer to a request to its connection, and reports whether the connection is kept for the next one.
 	Answer func(conn net.Conn, r *http.Request) bool
+	Unread bool // the body of a request is not read before its answer
 
 	listener net.Listener
 }
@@ -41,7 +42,7 @@
 	}
 }
 
-// serve answers the requests on a connection. It reads each one's body before.
+// serve answers the requests on a connection. It reads each one's body before, unless that is left unread.
 func (f *Raw) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	requests := bufio.NewReader(conn)
@@ -50,7 +51,10 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil || !f.Answer(conn, r) {
+		if !f.Unread {
+			_, err = io.Copy(io.Discard, r.Body)
+		}
+		if err != nil || !f.Answer(conn, r) {
 			return
 		}
 	}
