answer: Refuse responses whose status is none of a final response

Callers saw: through the own interface a call that a target answered with the status 000 gave a result with the status 0, and a prompt so answered was a whole one.

Cause: package net/http accepts any three characters that are a number without a minus as a status. The code that reads answers compares it with one limit, such as "below 400", which 000 passes.

It fails a response with a status outside 200 to 599 before anybody reads its head or body, and as for any lost answer it is not known then whether the request ran.

--- a/cmd/pierctl/cli.go
+++ b/cmd/pierctl/cli.go
@@ -12,6 +12,7 @@
 
 	"github.com/pmezard/go-difflib/difflib"
 
+	"github.com/corianderpier/corianderpier/internal/answer"
 	"github.com/corianderpier/corianderpier/internal/config"
 	"github.com/corianderpier/corianderpier/internal/entry"
 	"github.com/corianderpier/corianderpier/internal/limit"
@@ -24,6 +25,9 @@
 	maxAnswerBytes   = 16 << 20 // of an instance
 )
 
+// adminClient calls the operators' ports of instances.
+var adminClient = &http.Client{Transport: &answer.Transport{Base: http.DefaultTransport}}
+
 // cli holds the flags and the output that all commands share.
 type cli struct {
 	storeURL string
@@ -99,7 +103,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := adminClient.Do(req)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/answer/answer.go
@@ -0,0 +1,42 @@
+package answer
+
+import (
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	minStatus = 200 // of a final response; 101 is one too, but no request here asks for another protocol
+	maxStatus = 599
+
+	maxQuotedBytes = 64 // of what is wrong with a head
+)
+
+// Transport passes on the responses of another transport whose heads are valid.
+type Transport struct {
+	Base http.RoundTripper
+}
+
+// RoundTrip sends a request; it fails with an *Error for a response whose head is not valid.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.Base.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := check(resp); err != nil {
+		_ = resp.Body.Close()
+		metrics.GetOrCreateCounter(`pier_answer_refused_total{reason="` + string(err.Kind) + `"}`).Inc()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// check returns what is wrong with the head of a response, or nil.
+func check(resp *http.Response) *Error {
+	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+		return &Error{Op: "read", Kind: InvalidStatus, Err: eris.Errorf("%.*q", maxQuotedBytes, resp.Status)}
+	}
+	return nil
+}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
+	"github.com/corianderpier/corianderpier/internal/answer"
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/detour"
 	"github.com/corianderpier/corianderpier/internal/engine"
@@ -48,10 +49,10 @@
 			return (&net.Dialer{}).DialContext(ctx, "tcp", t.Addr)
 		}
 	}
-	c.httpClient = &http.Client{Transport: &http.Transport{
+	c.httpClient = &http.Client{Transport: &answer.Transport{Base: &http.Transport{
 		DialContext: c.dial, MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableKeepAlives: true, // a late copy or the rest of an abandoned answer must not be read as the answer to the next request
-	}}
+	}}}
 }
 
 // purpose is the key under which the context of a call has a detour.Target without an address: what its connection is for.
--- a/pkg/pier/client.go
+++ b/pkg/pier/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/corianderpier/corianderpier/internal/answer"
 	"github.com/corianderpier/corianderpier/internal/limit"
 	"github.com/corianderpier/corianderpier/pkg/wire"
 )
@@ -245,10 +246,10 @@
 func (c *Client) httpClient() *http.Client {
 	c.once.Do(func() {
 		dialer := &net.Dialer{Timeout: dialTimeout}
-		c.http = &http.Client{Transport: &http.Transport{
+		c.http = &http.Client{Transport: &answer.Transport{Base: &http.Transport{
 			DialContext: dialer.DialContext, TLSClientConfig: c.TLS, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
 			MaxResponseHeaderBytes: maxHeaderBytes,
-		}}
+		}}}
 	})
 	return c.http
 }
