answer: Refuse responses with a field name that is none

Callers saw: a worker's answer whose head has a blank in the name of a field reached them as an answer, with its status and signature. "Content-Length : 3" was no length, so that everything up to the end of the connection was the body; "Transfer-Encoding : chunked" left the chunk sizes in the body. The line itself was not passed on. A control byte in a name already failed.

Cause: package net/http takes a blank in a field name, under a name that nothing matches, and goes on with the rest of the head. With that the length of the body, or the statement that a request has not run, is lost. It refuses every other byte that is not allowed in a name.

Why this works: the names that net/http leaves in a response are checked by golang.org/x/net/http/httpguts, which quic-go already brought here, in the transport that all of these clients share. The response fails before its body is read.

After: all pass.

--- a/cmd/pierctl/broken_test.go
+++ b/cmd/pierctl/broken_test.go
@@ -12,7 +12,7 @@
 
 // Guards against: an answer that is no HTTP counts as one of an instance, so that an order to it seems done.
 func TestBrokenHeads(t *testing.T) {
-	for name, head := range fake.BrokenStatuses {
+	for name, head := range fake.BrokenHeads() {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f, err := fake.BrokenText(head, "{}")
--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -38,5 +39,10 @@
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return &Error{Op: "read", Kind: InvalidStatus, Err: eris.Errorf("%.*q", maxQuotedBytes, resp.Status)}
 	}
+	for name := range resp.Header {
+		if !httpguts.ValidHeaderFieldName(name) { // package net/http takes names with blanks
+			return &Error{Op: "read", Kind: InvalidField, Err: eris.Errorf("%.*q", maxQuotedBytes, name)}
+		}
+	}
 	return nil
 }
--- a/internal/answer/error.go
+++ b/internal/answer/error.go
@@ -6,6 +6,7 @@
 // The kinds of failure.
 const (
 	InvalidStatus Kind = "status" // the status is none of a final response
+	InvalidField  Kind = "field"  // the head has a line that is no field, or a field that cannot be there
 )
 
 // Error is a response that is no HTTP.
--- a/internal/fake/broken.go
+++ b/internal/fake/broken.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 )
@@ -17,6 +18,34 @@
 	"status of letters": "HTTP/1.1 OK! None\r\n",
 }
 
+// BrokenFields are starts of heads with a field whose name is none, by what is wrong with it.
+var BrokenFields = map[string]string{
+	"blank after a length":    "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n",
+	"blank after an encoding": "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
+	"blank in a name":         "HTTP/1.1 200 OK\r\nX Broken: v\r\n",
+	"blank before a name":     "HTTP/1.1 200 OK\r\n X-Broken: v\r\n",
+	"blank alone":             "HTTP/1.1 200 OK\r\n : v\r\n",
+	"tab after a length":      "HTTP/1.1 200 OK\r\nContent-Length\t: 3\r\n",
+	"control byte":            "HTTP/1.1 200 OK\r\nX-Bro\x01ken: v\r\n",
+	"zero byte":               "HTTP/1.1 200 OK\r\nContent-Length\x00: 3\r\n",
+	"delete":                  "HTTP/1.1 200 OK\r\nX-Broken\x7f: v\r\n",
+	"carriage return":         "HTTP/1.1 200 OK\r\nX-Bro\rken: v\r\n",
+	"byte above ASCII":        "HTTP/1.1 200 OK\r\nX-Br\xc3\xb6ken: v\r\n",
+	"no name":                 "HTTP/1.1 200 OK\r\n: v\r\n",
+	"no colon":                "HTTP/1.1 200 OK\r\nX-Broken\r\n",
+	"refusal":                 "HTTP/1.1 503 Service Unavailable\r\nX Broken: v\r\n",
+	"not found":               "HTTP/1.1 404 Not Found\r\nX Broken: v\r\n",
+	"error":                   "HTTP/1.1 500 Internal Server Error\r\nX Broken: v\r\n",
+	"blank later in the head": "HTTP/1.1 200 OK\r\nX-Sound: v\r\nContent-Length : 3\r\n",
+}
+
+// BrokenHeads returns all starts of heads that are no HTTP.
+func BrokenHeads() map[string]string {
+	heads := maps.Clone(BrokenStatuses)
+	maps.Copy(heads, BrokenFields)
+	return heads
+}
+
 // Broken returns a fake target whose answers begin with the given lines. More lines of the head and the body follow, and the connection
 // ends.
 func Broken(first string, rest func(r *http.Request) (lines, body string)) *Raw {
--- a/internal/store/broken_test.go
+++ b/internal/store/broken_test.go
@@ -35,7 +35,7 @@
 		}},
 		"delete": {"", store.OutcomeUnknown, func(ctx context.Context, c *store.Client) error { return c.Delete(ctx, "config", 1) }},
 	} {
-		for name, head := range fake.BrokenStatuses {
+		for name, head := range fake.BrokenHeads() {
 			t.Run(name+", "+call, func(t *testing.T) {
 				is := is.New(t)
 				f, err := fake.BrokenText(head+"ETag: \"7\"\r\n", c.body)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
+	"github.com/corianderpier/corianderpier/internal/answer"
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/limit"
 )
@@ -25,6 +26,9 @@
 	maxListBytes   = 4 << 20 // of the response to a list
 )
 
+// defaultClient refuses responses that are no HTTP.
+var defaultClient = &http.Client{Transport: &answer.Transport{Base: http.DefaultTransport}}
+
 // Object is one version of a named value.
 type Object struct {
 	Name    string
@@ -35,7 +39,7 @@
 // Client calls the object API.
 type Client struct {
 	BaseURL    string       // of the object API, without a trailing slash
-	HTTPClient *http.Client // nil for http.DefaultClient
+	HTTPClient *http.Client // nil for defaultClient
 	Timeout    clock.Millis // of one call, to which a watch adds its wait; zero for the default
 }
 
@@ -198,7 +202,7 @@
 
 func (c *Client) httpClient() *http.Client {
 	if c.HTTPClient == nil {
-		return http.DefaultClient
+		return defaultClient
 	}
 	return c.HTTPClient
 }
--- a/pkg/pier/broken_test.go
+++ b/pkg/pier/broken_test.go
@@ -36,7 +36,7 @@
 			return err
 		}},
 	} {
-		for name, head := range fake.BrokenStatuses {
+		for name, head := range fake.BrokenHeads() {
 			t.Run(name+", "+call, func(t *testing.T) {
 				is := is.New(t)
 				f, err := fake.BrokenText(head, c.body)
