tests: Cut the answers of targets, the store and instances at each byte

The same cause was sought wherever else answers are read: an answer without a length that ends early, with an orderly end of its connection. None was found and nothing is changed. A value of the own store relies on its length. Chunk sizes that HTTP/1.0 leaves in such a body are refused by the decoders as well.

--- a/internal/fake/broken.go
+++ b/internal/fake/broken.go
@@ -61,6 +61,9 @@
 	return heads
 }
 
+// Chunked returns a body as one chunk.
+func Chunked(body string) string { return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body) }
+
 // Broken returns a fake target whose answers begin with the given lines. More lines of the head and the body follow, and the connection
 // ends.
 func Broken(first string, rest func(r *http.Request) (lines, body string)) *Raw {
--- a/internal/peer/endless_test.go
+++ b/internal/peer/endless_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
@@ -107,6 +108,33 @@
 	}
 }
 
+// Guards against: a part of a peer's answer counts as a whole one.
+func TestCutReplies(t *testing.T) {
+	is := is.New(t)
+	body, err := cbor.Marshal(echoMessage{"hello"})
+	is.NoErr(err)
+	whole, err := cbor.Marshal(response{Body: body})
+	is.NoErr(err)
+	for n := range len(whole) + 1 {
+		a, b := startNode(t, "key"), &Node{Addr: "127.0.0.1:0", ClusterKey: []byte("key")}
+		is.NoErr(b.Listen())
+		go func() {
+			conn, err := b.listener.Accept(context.Background())
+			if err != nil {
+				return
+			}
+			if stream, err := conn.AcceptStream(context.Background()); err == nil {
+				_ = writeMessage(stream, whole[:n])
+			}
+		}()
+		var got echoMessage
+		err := a.Call(contextWithTimeout(t), b.LocalAddr(), "echo", echoMessage{"hello"}, &got)
+		is.Equal(err == nil, n == len(whole))
+		is.True(err == nil || Is(err, NoAnswer))
+		b.Close()
+	}
+}
+
 // stoppedByPeer reports whether the other end stopped a stream or closed its connection.
 func stoppedByPeer(err error) bool {
 	var stopped *quic.StreamError
--- a/internal/store/broken_test.go
+++ b/internal/store/broken_test.go
@@ -47,3 +47,37 @@
 		}
 	}
 }
+
+// Guards against: a list is believed although its answer hides where it ends.
+func TestBrokenLengths(t *testing.T) {
+	for name, body := range map[string]string{"chunks before HTTP/1.1": fake.Chunked("[]"), "folded length": "[]]"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f, err := fake.BrokenText(fake.BrokenLengths[name], body)
+			is.NoErr(err)
+			t.Cleanup(func() { _ = f.Close() })
+			_, err = (&store.Client{BaseURL: "http://" + f.Addr(), Timeout: callTimeout}).List(context.Background(), "config")
+			is.True(store.Is(err, store.Malformed))
+		})
+	}
+}
+
+// Guards against: a part of a list, without a length, or of a value with one counts as whole.
+func TestCutAnswers(t *testing.T) {
+	is := is.New(t)
+	const list, value = `[{"Name": "config", "Version": 7, "Value": "eA=="}]`, "value"
+	for n := range len(list) {
+		f, err := fake.BrokenText("HTTP/1.1 200 OK\r\n", list[:n])
+		is.NoErr(err)
+		_, err = (&store.Client{BaseURL: "http://" + f.Addr(), Timeout: callTimeout}).List(context.Background(), "config")
+		is.True(store.Is(err, store.Malformed))
+		_ = f.Close()
+	}
+	for n := range len(value) {
+		f, err := fake.BrokenText("HTTP/1.1 200 OK\r\nETag: \"7\"\r\nContent-Length: 5\r\n", value[:n])
+		is.NoErr(err)
+		_, err = (&store.Client{BaseURL: "http://" + f.Addr(), Timeout: callTimeout}).Get(context.Background(), "config")
+		is.True(store.Is(err, store.Unavailable))
+		_ = f.Close()
+	}
+}
--- a/internal/target/broken_test.go
+++ b/internal/target/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -60,3 +61,21 @@
 		}
 	}
 }
+
+// Guards against: a part of an answer, without a length, counts as a whole one. A stream may lack the empty line after its last frame.
+func TestCutBodies(t *testing.T) {
+	for call, c := range brokenCalls {
+		t.Run(call, func(t *testing.T) {
+			is := is.New(t)
+			client, ctx := newTestClient(t)
+			for n := range len(strings.TrimSpace(c.body)) {
+				f, err := fake.BrokenText(okHead[:len(okHead)-2], c.body[:n])
+				is.NoErr(err)
+				err = c.call(ctx, client, f.Addr())
+				is.True(err != nil)
+				is.True(KindOf(err) == Broken || KindOf(err) == Mismatched)
+				_ = f.Close()
+			}
+		})
+	}
+}
