--- a/cmd/pierctl/cli.go
+++ b/cmd/pierctl/cli.go
@@ -12,11 +12,11 @@
 
 	"github.com/pmezard/go-difflib/difflib"
 
-	"github.com/corianderpier/corianderpier/internal/answer"
 	"github.com/corianderpier/corianderpier/internal/config"
 	"github.com/corianderpier/corianderpier/internal/entry"
 	"github.com/corianderpier/corianderpier/internal/limit"
 	"github.com/corianderpier/corianderpier/internal/store"
+	"github.com/corianderpier/corianderpier/internal/strict"
 )
 
 const (
@@ -26,7 +26,7 @@
 )
 
 // adminClient calls the operators' ports of instances.
-var adminClient = &http.Client{Transport: &answer.Transport{Base: http.DefaultTransport}}
+var adminClient = &http.Client{Transport: &strict.Transport{Base: http.DefaultTransport}}
 
 // cli holds the flags and the output that all commands share.
 type cli struct {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -13,9 +13,9 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
-	"github.com/corianderpier/corianderpier/internal/answer"
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/limit"
+	"github.com/corianderpier/corianderpier/internal/strict"
 )
 
 // MaxValueBytes is the size limit of a value in the object API.
@@ -27,7 +27,7 @@
 )
 
 // defaultClient refuses responses that are no HTTP.
-var defaultClient = &http.Client{Transport: &answer.Transport{Base: http.DefaultTransport}}
+var defaultClient = &http.Client{Transport: &strict.Transport{Base: http.DefaultTransport}}
 
 // Object is one version of a named value.
 type Object struct {
--- a/internal/answer/error.go
+++ b/internal/strict/error.go
@@ -1,4 +1,4 @@
-package answer
+package strict
 
 import (
 	"github.com/VictoriaMetrics/metrics"
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -13,11 +13,11 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
-	"github.com/corianderpier/corianderpier/internal/answer"
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/detour"
 	"github.com/corianderpier/corianderpier/internal/engine"
 	"github.com/corianderpier/corianderpier/internal/limit"
+	"github.com/corianderpier/corianderpier/internal/strict"
 )
 
 const (
@@ -49,7 +49,7 @@
 			return (&net.Dialer{}).DialContext(ctx, "tcp", t.Addr)
 		}
 	}
-	c.httpClient = &http.Client{Transport: &answer.Transport{Base: &http.Transport{
+	c.httpClient = &http.Client{Transport: &strict.Transport{Base: &http.Transport{
 		DialContext: c.dial, MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableKeepAlives: true, // a late copy or the rest of an abandoned answer must not be read as the answer to the next request
 	}}}
@@ -73,7 +73,7 @@
 	if err != nil || c.Scheme != "http" {
 		return conn, err
 	}
-	return answer.NewConn(conn), nil
+	return strict.NewConn(conn), nil
 }
 
 // Stream runs a prompt on an engine, or resumes it, and calls onFrame with each valid frame of the answer.
--- a/pkg/pier/client.go
+++ b/pkg/pier/client.go
@@ -13,8 +13,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/corianderpier/corianderpier/internal/answer"
 	"github.com/corianderpier/corianderpier/internal/limit"
+	"github.com/corianderpier/corianderpier/internal/strict"
 	"github.com/corianderpier/corianderpier/pkg/wire"
 )
 
@@ -246,7 +246,7 @@
 func (c *Client) httpClient() *http.Client {
 	c.once.Do(func() {
 		dialer := &net.Dialer{Timeout: dialTimeout}
-		c.http = &http.Client{Transport: &answer.Transport{Base: &http.Transport{
+		c.http = &http.Client{Transport: &strict.Transport{Base: &http.Transport{
 			DialContext: dialer.DialContext, TLSClientConfig: c.TLS, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
 			MaxResponseHeaderBytes: maxHeaderBytes,
 		}}}
