detour: Let the target of the reset tests wait for the request

TestResetWhileWriting failed in 3 of 14 runs beside ten busy loops: "dial: connection reset by peer". Its target reset a connection 5 ms after it was accepted, and the dialer, which waited for a processor, had not noticed by then that the connection was open. That is a failed dial and no answer.

The target now reads the first byte of the request before it answers and resets; checks and bounds are the same.

--- a/internal/detour/reset_test.go
+++ b/internal/detour/reset_test.go
@@ -12,11 +12,11 @@
 
 const (
 	resetRounds = 50                   // connections of a test, as a reset shows either to the reader or to the writer
-	uploadBytes = 8 << 20              // more than the buffers of a connection take while its target reads nothing
+	uploadBytes = 8 << 20              // more than the buffers of a connection take while its target reads no more
 	blockTime   = 5 * time.Millisecond // within which they are full
 )
 
-// startUnreadTarget starts a target that reads nothing, sends a part of an answer and then ends each connection in its own way.
+// startUnreadTarget starts a target that leaves a request unread, sends a part of an answer and then ends each connection in its own way.
 func startUnreadTarget(t *testing.T, end func(c *net.TCPConn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -31,6 +31,7 @@
 				return
 			}
 			go func() {
+				_, _ = io.ReadFull(c, make([]byte, 1)) // the other end knows by then that the connection is open
 				_, _ = c.Write([]byte("half"))
 				time.Sleep(blockTime)
 				end(c.(*net.TCPConn))
