fake, strict: Mend a comment, and drop a loop that no test case enters

BrokenText starts a target and returns it, not its address. No check and no product code is changed.

--- a/internal/fake/broken.go
+++ b/internal/fake/broken.go
@@ -74,7 +74,7 @@
 	}}
 }
 
-// BrokenText returns the address of a fake target whose answers begin with the given lines and have the same body each.
+// BrokenText starts a fake target whose answers begin with the given lines and have the same body each.
 func BrokenText(first, body string) (*Raw, error) {
 	f := Broken(first, func(*http.Request) (string, string) { return "", body })
 	return f, f.Listen()
--- a/internal/strict/conn_test.go
+++ b/internal/strict/conn_test.go
@@ -25,9 +25,6 @@
 // body reads a response as a client does and returns its body.
 func body(from io.Reader) (string, error) {
 	resp, err := http.ReadResponse(bufio.NewReader(from), nil)
-	for err == nil && resp.StatusCode == http.StatusEarlyHints {
-		resp, err = http.ReadResponse(bufio.NewReaderSize(from, 16), nil)
-	}
 	if err != nil {
 		return "", err
 	}
