feed: Let news go at once after a repetition of old gossip

Cause: gossip paused for 500 ms after each datagram, also after one that only repeats what is known. All instances repeat 1.5 s after the last news. The watches of the store return 2.1 s after it, so their news regularly fell into that pause, at each instance on its way.

Change: only a datagram with news is followed by the pause. News then keeps its rate of at most one datagram in 520 ms, and repetitions come after a second without any.

--- a/internal/feed/fresh_test.go
+++ b/internal/feed/fresh_test.go
@@ -174,6 +174,33 @@
 	is.True(sent.Load() <= int64(instances*gossipFanout*rounds*5)) // two datagrams a second to each of gossipFanout
 }
 
+// Guards against: news waits because others were just told the same once more, at each instance on its way.
+func TestNewsAfterRepetition(t *testing.T) {
+	is := is.New(t)
+	f := newConfirmedFeed(clock.Now() - gossipStep)
+	sent := make(chan struct{}, 10)
+	g := &Gossip{Feeds: []*Feed{f}, Peers: func() []string { return []string{"other"} }, Send: func(string, []byte) { sent <- struct{}{} }}
+	f.OnConfirmed = g.Record
+	g.Init()
+	go func() { _ = g.Run(t.Context()) }()
+	<-sent // without news
+	f.raiseConfirmedAt(clock.Now())
+	select {
+	case <-sent:
+	case <-time.After((gossipPause / 2).Duration()):
+		is.Fail()
+	}
+}
+
+// newConfirmedFeed returns a feed that has version 1, which was confirmed at the given time.
+func newConfirmedFeed(at clock.Millis) *Feed {
+	f := &Feed{Name: "test", Apply: func(Object) error { return nil }, MaxAge: 3 * clock.Second}
+	f.Init()
+	f.applyIfNewer(Object{Version: Version{Number: 1}, Value: []byte("1")})
+	f.raiseConfirmedAt(at)
+	return f
+}
+
 // Guards against: a version that a look has found is told to nobody, so that instances that do not look go on without it.
 func TestFoundVersionTold(t *testing.T) {
 	is := is.New(t)
--- a/internal/feed/gossip.go
+++ b/internal/feed/gossip.go
@@ -15,7 +15,7 @@
 const (
 	gossipStep   = clock.Second          // by which a confirmation is later than the one that was told last, to be told at once
 	gossipDelay  = 20 * clock.Millis(1)  // for which more news is awaited, as several objects are often confirmed together
-	gossipPause  = 500 * clock.Millis(1) // shortest time between two datagrams
+	gossipPause  = 500 * clock.Millis(1) // after news, until the next datagrams
 	gossipRepeat = clock.Second          // after which it is told without news, for those that the last datagrams did not reach
 	gossipFanout = 3                     // instances that get each of them
 )
@@ -62,10 +62,11 @@
 		case <-ctx.Done():
 		case <-g.wake:
 			_ = clock.Sleep(ctx, gossipDelay)
+			g.tell()
+			_ = clock.Sleep(ctx, gossipPause)
 		case <-time.After(gossipRepeat.Duration()):
+			g.tell()
 		}
-		g.tell()
-		_ = clock.Sleep(ctx, gossipPause)
 	}
 	return nil
 }
