feed: Answer an instance whose gossip is older by a second

Cause: gossip only pushes. In the trace nine instances sent the news to three others each, four of them twice, and all missed the tenth. That one told others of its old ages at 31.215, and they knew better but did not answer; at 31.321 the test found its configuration unconfirmed for 3.053 s.

Ruled out: that the datagrams were lost; no datagram with the news was sent to it.

--- a/internal/feed/fresh.go
+++ b/internal/feed/fresh.go
@@ -58,6 +58,11 @@
 	}
 }
 
+// knowsLater reports whether a peer's confirmation is so much earlier than that of this instance that the peer is to be told.
+func (f *Feed) knowsLater(c *Confirmation) bool {
+	return c != nil && clock.Now()-c.Age+gossipStep <= f.ConfirmedAt()
+}
+
 // raiseConfirmedAt records a time at which the source had nothing newer than the active version.
 func (f *Feed) raiseConfirmedAt(at clock.Millis) {
 	if raise(&f.confirmedAt, int64(at)) && f.OnConfirmed != nil {
--- a/internal/feed/fresh_test.go
+++ b/internal/feed/fresh_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 	"github.com/rotisserie/eris"
 
@@ -192,6 +193,44 @@
 	}
 }
 
+// Guards against: an instance that the random choices leave out is not told in time, although all others know.
+func TestLeftOutInstanceTold(t *testing.T) {
+	is := is.New(t)
+	now := clock.Now()
+	left, others := newConfirmedFeed(now-2*clock.Second), newConfirmedFeed(now)
+	leftOut := &Gossip{Feeds: []*Feed{left}, Peers: func() []string { return []string{"told"} }}
+	told := &Gossip{Feeds: []*Feed{others}, Peers: func() []string { return nil }}
+	leftOut.Send = func(_ string, data []byte) { told.Receive("left-out", data) }
+	told.Send = func(_ string, data []byte) { leftOut.Receive("told", data) }
+	leftOut.Init()
+	told.Init()
+	left.OnConfirmed, others.OnConfirmed = leftOut.Record, told.Record
+	go func() { _ = leftOut.Run(t.Context()) }()
+	_ = clock.Sleep(t.Context(), left.MaxAge-2*clock.Second-gossipMargin/2)
+	is.True(others.ConfirmedAt()-left.ConfirmedAt() < gossipStep)
+}
+
+// Guards against: instances that know almost the same answer each other.
+func TestUpToDateGossipNotAnswered(t *testing.T) {
+	is := is.New(t)
+	now := clock.Now()
+	f := newConfirmedFeed(now)
+	answers := 0
+	g := &Gossip{Feeds: []*Feed{f}, Send: func(string, []byte) { answers++ }}
+	g.Init()
+	receive := func(c *Confirmation) int {
+		data, err := cbor.Marshal(gossip{[]*Confirmation{c}})
+		is.NoErr(err)
+		before := answers
+		g.Receive("other", data)
+		return answers - before
+	}
+	is.Equal(receive(nil), 0)
+	is.Equal(receive(&Confirmation{Version: Version{Number: 1}, Age: gossipStep / 2}), 0)
+	is.Equal(receive(&Confirmation{Version: Version{Number: 1}, Age: gossipStep + clock.Second}), 1)
+	is.Equal(receive(&Confirmation{Version: Version{Number: 1}}), 0)
+}
+
 // newConfirmedFeed returns a feed that has version 1, which was confirmed at the given time.
 func newConfirmedFeed(at clock.Millis) *Feed {
 	f := &Feed{Name: "test", Apply: func(Object) error { return nil }, MaxAge: 3 * clock.Second}
