--- a/internal/feed/fresh_test.go
+++ b/internal/feed/fresh_test.go
@@ -188,26 +188,27 @@
 	f.raiseConfirmedAt(clock.Now())
 	select {
 	case <-sent:
-	case <-time.After((gossipPause / 2).Duration()):
+	case <-time.After((gossipPause - 5*gossipDelay).Duration()):
 		is.Fail()
 	}
 }
 
 // Guards against: an instance that the random choices leave out is not told in time, although all others know.
 func TestLeftOutInstanceTold(t *testing.T) {
+	const age = 2 * clock.Second // of what the instance knows that was left out
 	is := is.New(t)
 	now := clock.Now()
-	left, others := newConfirmedFeed(now-2*clock.Second), newConfirmedFeed(now)
-	leftOut := &Gossip{Feeds: []*Feed{left}, Peers: func() []string { return []string{"told"} }}
-	told := &Gossip{Feeds: []*Feed{others}, Peers: func() []string { return nil }}
-	leftOut.Send = func(_ string, data []byte) { told.Receive("left-out", data) }
-	told.Send = func(_ string, data []byte) { leftOut.Receive("told", data) }
+	older, newer := newConfirmedFeed(now-age), newConfirmedFeed(now)
+	leftOut := &Gossip{Feeds: []*Feed{older}, Peers: func() []string { return []string{"informed"} }}
+	informed := &Gossip{Feeds: []*Feed{newer}, Peers: func() []string { return nil }}
+	leftOut.Send = func(_ string, data []byte) { informed.Receive("left-out", data) }
+	informed.Send = func(_ string, data []byte) { leftOut.Receive("informed", data) }
 	leftOut.Init()
-	told.Init()
-	left.OnConfirmed, others.OnConfirmed = leftOut.Record, told.Record
+	informed.Init()
+	older.OnConfirmed, newer.OnConfirmed = leftOut.Record, informed.Record
 	go func() { _ = leftOut.Run(t.Context()) }()
-	_ = clock.Sleep(t.Context(), left.MaxAge-2*clock.Second-gossipMargin/2)
-	is.True(others.ConfirmedAt()-left.ConfirmedAt() < gossipStep)
+	_ = clock.Sleep(t.Context(), older.MaxAge-age-5*gossipDelay)
+	is.True(newer.ConfirmedAt()-older.ConfirmedAt() < gossipStep)
 }
 
 // Guards against: instances that know almost the same answer each other.
