board: Place a long prompt when none of many engines may help

All engines of a site come back cold at once. Within two seconds each instance ends by itself, and the connections of all its callers close without an answer.

Cause: chooseEngines read the speed of the engines from the first one of a list. Among more than maxShortlist engines that list is the shortlist of those that may help with a prompt, which leaves out cold engines and those that name a rate limit. If it is empty, targets[0] panics on the control loop, and the process ends.

Fix: all engines of a service have one capacity and speed, which the caller has at hand, so that it is passed, also to partsToFit and Board.price, which read it in the same way.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -232,7 +232,7 @@
 		if req.exceeds(engine, len(targets)) {
 			return nil, &Error{Op: "place", Kind: TooLarge}
 		}
-		chosen = chooseEngines(now, req, targets, b.randomness(now, len(targets)))
+		chosen = chooseEngines(now, req, engine, targets, b.randomness(now, len(targets)))
 		if chosen.primary != nil && !req.Begun {
 			if err := b.admit(now, req, engine, targets, chosen); err != nil {
 				return nil, err
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/corianderpier/corianderpier/internal/clock"
+	"github.com/corianderpier/corianderpier/internal/model"
 )
 
 const (
@@ -52,26 +53,25 @@
 // delays lose the least value. If no choice is possible, the result has no primary.
 //
 // If no engine has the memory for the whole prompt, the prompt is split, and each engine keeps its part in memory.
-func chooseEngines(now clock.Millis, req Requirements, targets []*targetState, random randomness) choice {
+func chooseEngines(now clock.Millis, req Requirements, engine model.Engine, targets []*targetState, random randomness) choice {
 	for _, s := range targets {
 		s.advance(now)
 		s.baseline = s.schedule.Forecast(nil)
 	}
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	best := choice{}
-	slo := float64(max(req.FirstEventSLO, 1))
 	fitsOne := slices.ContainsFunc(targets, func(s *targetState) bool { return s.hasMemory(req.PromptTokens + req.MaxOutputTokens) })
+	best := chooseParts(now, req, targets, 1, !fitsOne, random)
+	if fitsOne && !req.worthDividing(engine) {
+		return best
+	}
 	maxUsed := min(maxParts, max(1, int(maxPartsShare*float64(len(targets)))))
 	if !fitsOne {
-		maxUsed = min(maxParts, max(maxUsed, req.partsToFit(targets)), len(targets))
+		maxUsed = min(maxParts, max(maxUsed, req.partsToFit(engine)))
 	}
-	for parts := 1; parts <= maxUsed; parts++ {
-		if parts > 1 && fitsOne && targets[0].schedule.Engine.PrefillTime(req.PromptTokens) < spreadThreshold*slo {
-			break
-		}
-		if parts == 2 {
-			targets = shortlist(now, req, targets, !fitsOne)
-		}
+	if maxUsed > 1 {
+		targets = shortlist(now, req, targets, !fitsOne)
+	}
+	for parts := 2; parts <= min(maxUsed, len(targets)); parts++ {
 		option := chooseParts(now, req, targets, parts, !fitsOne, random)
 		if option.primary != nil && (best.primary == nil || option.cost < best.cost) {
 			best = option
@@ -80,8 +80,14 @@
 	return best
 }
 
+// worthDividing reports whether the prefill of a prompt on one engine takes so long that it may be divided.
+func (r Requirements) worthDividing(engine model.Engine) bool {
+	return engine.PrefillTime(r.PromptTokens) >= spreadThreshold*float64(max(r.FirstEventSLO, 1))
+}
+
 // shortlist returns the engines that prefill parts of a prompt at the least cost, so that the time to choose among numbers
-// of parts does not grow with the fleet. With split, engines without the memory for the smallest part are left out.
+// of parts does not grow with the fleet. With split, engines without the memory for the smallest part are left out. The result of a
+// large fleet is empty if no engine may help.
 func shortlist(now clock.Millis, req Requirements, targets []*targetState, split bool) []*targetState {
 	if len(targets) <= maxShortlist {
 		return targets
@@ -100,8 +106,8 @@
 
 // partsToFit returns a number of parts that suffices for a part of the prompt and the answer to fit into the memory of an
 // idle engine.
-func (r Requirements) partsToFit(targets []*targetState) int {
-	limit := int(maxMemoryShare * float64(targets[0].schedule.Engine.Memory))
+func (r Requirements) partsToFit(engine model.Engine) int {
+	limit := int(maxMemoryShare * float64(engine.Memory))
 	return (r.PromptTokens+r.MaxOutputTokens)/max(limit-r.MaxOutputTokens, 1) + 1
 }
 
--- a/internal/board/scarce.go
+++ b/internal/board/scarce.go
@@ -70,7 +70,7 @@
 // admit returns the error for a request that would cost others more than it is worth: those that it delays, and those that are still
 // to come, by the engine time and the slot that it takes.
 func (b *Board) admit(now clock.Millis, req Requirements, engine model.Engine, targets []*targetState, chosen choice) error {
-	cost := b.price(now, req, targets, chosen)
+	cost := b.price(now, req, engine, targets, chosen)
 	var refused Kind
 	switch {
 	case cost.total > req.value():
--- a/internal/board/share.go
+++ b/internal/board/share.go
@@ -120,8 +120,7 @@
 
 // price returns what a request costs. While the engines are short of capacity, a customer over its share pays the factor for crowding and
 // for the slot too.
-func (b *Board) price(now clock.Millis, req Requirements, targets []*targetState, chosen choice) admission {
-	engine := targets[0].schedule.Engine
+func (b *Board) price(now clock.Millis, req Requirements, engine model.Engine, targets []*targetState, chosen choice) admission {
 	price := timePrice(targets) * engine.PrefillTime(req.PromptTokens)
 	cost := chosen.cost - chosen.startCost + price
 	if !b.sharesInForce() {
