strict: Bound the lines of the heads of answers

The process exceeds the 284 MB of its machine within seconds, is ended and starts anew, 9 to 10 times in 28 s; the connections of all callers close without an answer.

Cause: the limit on a head counts bytes (64 KB), but net/http keeps each line as an entry of a map until the request ends. Heads of callers are charged by the line, those of targets were not.

Fix: the connection to a target refuses heads of more than 256 lines, so that the attempt fails at once as one with a broken answer does, and another target is asked where that is allowed. To charge the lines to the account of memory was weighed: it would keep what nobody can use, and refuse sound requests.

--- a/internal/strict/conn.go
+++ b/internal/strict/conn.go
@@ -5,7 +5,10 @@
 	"net"
 )
 
-const maxLineBytes = 32 // of a line of a head that are looked at
+const (
+	maxLineBytes = 32  // of a line of a head that are looked at
+	maxHeadLines = 256 // of all heads of a response; net/http needs up to 200 bytes for each, however short it is
+)
 
 var (
 	chunkedVersion = []byte("HTTP/1.1") // the first one in which a response may have chunks
@@ -13,7 +16,7 @@
 )
 
 // Conn is a connection for one request whose response net/http reads. It fails before the end of a head in which net/http would miss
-// that a field says how long the body is.
+// that a field says how long the body is, or that has too many lines.
 type Conn struct {
 	net.Conn
 
@@ -39,6 +42,7 @@
 // head looks at the heads of a final response and of the interim ones before it.
 type head struct {
 	line    []byte // first bytes of the current line
+	lines   int    // that have ended, of all heads
 	fields  bool   // the status line has been read
 	old     bool   // the response is of a version without chunks
 	interim bool   // another head follows
@@ -63,7 +67,10 @@
 
 // endLine looks at a line of a head, or at its first bytes.
 func (h *head) endLine(line []byte) error {
+	h.lines++
 	switch {
+	case h.lines > maxHeadLines:
+		return refuse(TooManyLines, string(line))
 	case !h.fields:
 		version, status, _ := bytes.Cut(line, []byte(" "))
 		status = bytes.TrimLeft(status, " ")
--- a/internal/strict/conn_test.go
+++ b/internal/strict/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -95,6 +96,45 @@
 	}
 }
 
+// Guards against: heads of short lines without end, which net/http keeps in many times their size, use up the memory of a process (LOST).
+func TestConnBoundsLines(t *testing.T) {
+	const (
+		status  = "HTTP/1.1 200 OK\r\n"
+		interim = "HTTP/1.1 103 Early Hints\r\n\r\n"
+	)
+	fields := func(count int) string {
+		var text strings.Builder
+		for n := range count {
+			_, _ = fmt.Fprintf(&text, "%x:\r\n", n)
+		}
+		return text.String()
+	}
+	for name, c := range map[string]struct {
+		answer string
+		valid  bool
+	}{
+		"most lines":          {status + fields(maxHeadLines-2) + "\r\nbody", true},
+		"a line too many":     {status + fields(maxHeadLines-1) + "\r\nbody", false},
+		"no end":              {status + fields(10_000), false},
+		"interim without end": {strings.Repeat(interim, 10_000), false},
+		"lines of the body":   {status + "\r\n" + strings.Repeat("x\n", 10_000), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			data, err := io.ReadAll(NewConn(readerConn{Reader: iotest.OneByteReader(strings.NewReader(c.answer))}))
+			if c.valid {
+				is.NoErr(err)
+				is.Equal(string(data), c.answer)
+				return
+			}
+			var e *Error
+			is.True(eris.As(err, &e))
+			is.Equal(e.Kind, TooManyLines)
+			is.True(strings.Count(string(data), "\n") <= maxHeadLines)
+		})
+	}
+}
+
 // FuzzConn looks for answers that differ by the pieces in which they arrive, or of which bytes are lost.
 func FuzzConn(f *testing.F) {
 	f.Add("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody")
--- a/internal/strict/error.go
+++ b/internal/strict/error.go
@@ -14,6 +14,7 @@
 const (
 	InvalidStatus Kind = "status" // the status is none of a final response
 	InvalidField  Kind = "field"  // the head has a line that is no field, or a field that cannot be there
+	TooManyLines  Kind = "lines"  // the heads have more lines than maxHeadLines
 )
 
 // Error is a response that is no HTTP.
