--- a/internal/detour/reset_test.go
+++ b/internal/detour/reset_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/corianderpier/corianderpier/internal/fake"
 )
 
 const (
@@ -19,25 +21,16 @@
 // startUnreadTarget starts a target that leaves a request unread, sends a part of an answer and then ends each connection in its own way.
 func startUnreadTarget(t *testing.T, end func(c *net.TCPConn)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := fake.ListenEach(func(c net.Conn) {
+		_, _ = io.ReadFull(c, make([]byte, 1)) // the other end knows by then that the connection is open
+		_, _ = c.Write([]byte("half"))
+		time.Sleep(blockTime)
+		end(c.(*net.TCPConn))
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				_, _ = io.ReadFull(c, make([]byte, 1)) // the other end knows by then that the connection is open
-				_, _ = c.Write([]byte("half"))
-				time.Sleep(blockTime)
-				end(c.(*net.TCPConn))
-			}()
-		}
-	}()
 	return l.Addr().String()
 }
 
--- a/internal/fake/raw.go
+++ b/internal/fake/raw.go
@@ -19,11 +19,8 @@
 // Listen opens a port on the loopback interface and serves it until Close.
 func (f *Raw) Listen() error {
 	var err error
-	if f.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
-		return err
-	}
-	go f.accept()
-	return nil
+	f.listener, err = ListenEach(f.serve)
+	return err
 }
 
 // Addr returns the address of the port.
@@ -32,16 +29,6 @@
 // Close closes the port; connections that are open are served on.
 func (f *Raw) Close() error { return f.listener.Close() }
 
-func (f *Raw) accept() {
-	for {
-		conn, err := f.listener.Accept()
-		if err != nil {
-			return
-		}
-		go f.serve(conn)
-	}
-}
-
 // serve answers the requests on a connection. It reads each one's body before, unless that is left unread.
 func (f *Raw) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
--- a/internal/peer/conn_test.go
+++ b/internal/peer/conn_test.go
@@ -11,25 +11,18 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/corianderpier/corianderpier/internal/fake"
 )
 
 // startBackend listens on TCP and passes each connection to serve.
 func startBackend(t *testing.T, serve func(c *net.TCPConn)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := fake.ListenEach(func(c net.Conn) { serve(c.(*net.TCPConn)) })
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c.(*net.TCPConn))
-		}
-	}()
 	return l.Addr().String()
 }
 
