board: Keep the cost of candidates, the prices and the random choice in files of their own

choose.go had four things beside the choice of engines: what a candidate costs (candidate.go now), the price of engine time (scarce.go, with that of slots), and the constants of both. How random a choice is stood in board.go, away from its constants (random.go).

Tests of board pass with the race detector.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -250,23 +250,6 @@
 	return b.commit(now, req, chosen), nil
 }
 
-// randomness says among which engines a choice is random.
-type randomness struct {
-	choices int     // most engines to choose from
-	margin  float64 // of the request's value: the most by which their costs differ
-}
-
-// randomness returns how random choices are now. Placements that other instances have made within the last propagationTime
-// are not known here yet, so without it all instances would choose the same engine. Each such placement may have made the
-// cheapest engine dearer, so that a larger difference counts as equal the more there are.
-func (b *Board) randomness(now clock.Millis, engines int) randomness {
-	unseen := b.remotePlacements.perSecond(now) * float64(propagationTime) / float64(clock.Second)
-	return randomness{
-		choices: 1 + int(min(choicesPerUnseen*unseen, maxChoicesShare*float64(engines))),
-		margin:  equalCostMargin * max(1, unseen),
-	}
-}
-
 // shortage says why targets were left out that may run a request later.
 type shortage struct {
 	limited   bool         // some have reached their rate limits
--- a/internal/board/choose.go
+++ b/internal/board/choose.go
@@ -10,34 +10,14 @@
 )
 
 const (
-	maxPartsShare    = 0.75                   // of the engines: the most that prefill one prompt, so that some stay free for short prompts
-	maxParts         = 16                     // most engines that prefill one prompt
-	maxShortlist     = 3 * maxParts           // engines among which a prompt is divided
-	shortlistParts   = maxParts / 4           // number of parts by which engines are compared for that
-	spreadThreshold  = 0.2                    // of FirstEventSLO: only prompts whose prefill takes longer are divided among engines, unless memory requires it
-	extraPartCost    = 0.003                  // of the request's value, per additional engine, since later prompts find fewer free engines
-	maxMemoryShare   = 0.9                    // of an engine's memory: the most that requests may hold
-	propagationTime  = 10 * clock.Millis(1)   // time until other instances have received a placement
-	choicesPerUnseen = 3.0                    // engines to choose from at random, per placement not received yet
-	maxChoicesShare  = 0.25                   // of the engines: the most to choose from at random
-	equalCostMargin  = 0.03                   // of the request's value: costs that differ by no more count as equal, for each unseen placement and at least one
-	idleBacklog      = 300 * clock.Millis(1)  // mean prefill backlog per engine up to which engine time is free
-	fullBacklog      = 1500 * clock.Millis(1) // mean prefill backlog from which engine time costs maxTimePrice
-	maxTimePrice     = 20.0                   // value of a millisecond of engine time under full backlog, in tokens
-	longPassPrice    = 1.0                    // value of an engine's availability for long passes for a millisecond, in tokens
+	maxPartsShare   = 0.75         // of the engines: the most that prefill one prompt, so that some stay free for short prompts
+	maxParts        = 16           // most engines that prefill one prompt
+	maxShortlist    = 3 * maxParts // engines among which a prompt is divided
+	shortlistParts  = maxParts / 4 // number of parts by which engines are compared for that
+	spreadThreshold = 0.2          // of FirstEventSLO: a prompt whose prefill takes less is divided only if memory requires it
+	maxMemoryShare  = 0.9          // of an engine's memory: the most that requests may hold
 )
 
-// timePrice returns the value of a millisecond of engine time to other requests, in tokens; it grows with the prefill
-// backlog.
-func timePrice(targets []*targetState) float64 {
-	total := 0.0
-	for _, s := range targets {
-		total += s.prefillBacklog()
-	}
-	mean := total / float64(len(targets))
-	return maxTimePrice * min(1, max(0, mean-float64(idleBacklog))/float64(fullBacklog-idleBacklog))
-}
-
 // choice is a choice of engines, or of one plain target, with its cost.
 type choice struct {
 	primary     *targetState
@@ -111,16 +91,6 @@
 	return (r.PromptTokens+r.MaxOutputTokens)/max(limit-r.MaxOutputTokens, 1) + 1
 }
 
-// candidate is an engine's possible part in a request, with its cost.
-type candidate struct {
-	*targetState
-	cost         float64
-	startCost    float64                // part of the cost, see choice.startCost
-	prefillEnd   float64                // milliseconds until its part is prefilled
-	firstEvent   float64                // milliseconds until the first event, if this part is the last to be prefilled
-	lossToOthers map[requestKey]float64 // value that each other request on the engine loses
-}
-
 // chooseParts returns the cheapest engines for a given number of equal parts: a primary, which generates the answer,
 // and helpers, which only prefill. With split, each engine keeps its own part in memory; otherwise the primary keeps the
 // whole prompt, and the helpers keep nothing.
@@ -193,53 +163,6 @@
 	return candidates
 }
 
-// evaluate predicts the cost of having the engine prefill one of several equal parts: the value that the request and others
-// lose by delay, by the risk of a failure, and on a primary by keeping the engine from long passes. An engine that has just started
-// costs as much more as a first event loses that just meets its objective.
-func (s *targetState) evaluate(now clock.Millis, req Requirements, parts int, helper bool) candidate {
-	c := candidate{targetState: s}
-	task := s.schedule.Engine.NewTask(req.PromptTokens, parts, req.PromptTokens/parts, req.MaxOutputTokens, helper)
-	after := s.schedule.Forecast(task)
-	c.prefillEnd = after.PrefillEnds[len(after.PrefillEnds)-1]
-	c.firstEvent = c.prefillEnd + s.firstEventDelay(after)
-	c.lossToOthers = s.otherLosses(now, after)
-	c.startCost = onTimeLoss * s.cold.startWeight(now) * req.value() / float64(parts)
-	c.cost = req.loss(c.firstEvent) + s.failureRate(now)*req.value() + c.startCost
-	if !helper {
-		c.cost += longPassPrice * s.addedLongPassBlockTime(req)
-	}
-	for _, lost := range c.lossToOthers {
-		c.cost += lost
-	}
-	return c
-}
-
-// combine returns the choice of several engines and its total cost. A request that several of them delay counts once, with
-// its largest loss, and so does the request itself, whose first event follows the last part.
-func (primary *candidate) combine(req Requirements, chosen []candidate) choice {
-	total := choice{primary: primary.targetState}
-	losses := make(map[requestKey]float64)
-	for i, c := range chosen {
-		if i > 0 {
-			total.helpers = append(total.helpers, c.targetState)
-		}
-		total.firstEvent = max(total.firstEvent, c.prefillEnd)
-		total.startCost += c.startCost
-		total.cost += c.cost - req.loss(c.firstEvent)
-		for k, lost := range c.lossToOthers {
-			total.cost -= lost
-			losses[k] = max(losses[k], lost)
-		}
-	}
-	for _, lost := range losses {
-		total.othersLoss += lost
-	}
-	total.cost += total.othersLoss
-	total.firstEvent += primary.firstEvent - primary.prefillEnd
-	total.cost += req.loss(total.firstEvent) + extraPartCost*req.value()*float64(len(chosen)-1)
-	return total
-}
-
 // hasMemory reports whether the engine has memory for some more tokens; an engine of unknown capacity always has.
 func (s *targetState) hasMemory(tokens int) bool {
 	limit := maxMemoryShare * float64(s.schedule.Engine.Memory)
--- a/internal/board/scarce.go
+++ b/internal/board/scarce.go
@@ -6,10 +6,25 @@
 )
 
 const (
+	idleBacklog  = 300 * clock.Millis(1)  // mean prefill backlog per engine up to which engine time is free
+	fullBacklog  = 1500 * clock.Millis(1) // mean prefill backlog from which engine time costs maxTimePrice
+	maxTimePrice = 20.0                   // value of a millisecond of engine time under full backlog, in tokens
+
 	scarceSlots  = 0.95 // share of all slots in use from which they are scarce
 	maxSlotPrice = 0.5  // price of a slot when all are in use, as a share of the value that requests get from their slots
 )
 
+// timePrice returns the value of a millisecond of engine time to other requests, in tokens; it grows with the prefill
+// backlog.
+func timePrice(targets []*targetState) float64 {
+	total := 0.0
+	for _, s := range targets {
+		total += s.prefillBacklog()
+	}
+	mean := total / float64(len(targets))
+	return maxTimePrice * min(1, max(0, mean-float64(idleBacklog))/float64(fullBacklog-idleBacklog))
+}
+
 // scarcity returns how scarce slots are: 0 while enough of them are free, and 1 when all are in use.
 func scarcity(targets []*targetState) float64 {
 	running, slots := 0, 0
