review: case 12 also with bounded watches

Cause: whether a store answers a watch with more than 1 MB is open. Change: TROUBLE=history bounds these answers and drops the history once.

--- a/review/standin3/junk.go
+++ b/review/standin3/junk.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -18,6 +19,10 @@
 	)
 	s := NewSite(rec, 3, trouble)
 	defer s.End()
+	history := os.Getenv("TROUBLE") == "history" // answers to watches have 1 MB at most, and the history is lost once
+	if history {
+		s.Store.WatchBytes = pageBytes
+	}
 	s.Store.Put("config", "main", baseConfig(7))
 	var mu sync.Mutex
 	var runs []*Arrival
@@ -59,7 +64,14 @@
 		}
 		rec.Line("another writer has put %d entries of %d bytes that describe no worker", entries, bytes)
 	}
-	time.Sleep(8 * time.Second)
+	time.Sleep(4 * time.Second)
+	if history {
+		s.Store.DropHistory()
+		s.Store.Put("servers", workers[2].ID, workers[2].Entry("draining"))
+		s.Store.Put("servers", workers[2].ID, workers[2].Entry("ready"))
+		rec.Line("the store has dropped its history, and with it a change")
+	}
+	time.Sleep(4 * time.Second)
 	leaver := workers[0]
 	s.Store.Put("servers", leaver.ID, leaver.Entry("draining"))
 	leftAt := time.Now()
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -39,8 +39,11 @@
 	Addr string
 	// Hinder is asked for each call; it returns false if the call was ended there. Nil for nothing.
 	Hinder func(w http.ResponseWriter, r *http.Request) bool
+	// WatchBytes bounds the objects in the answer to a watch, if it is not zero: further events come with the next one.
+	WatchBytes int
 
 	mu      sync.Mutex
+	dropped uint64 // revision up to which the history is gone
 	rev     uint64
 	objects map[string]map[string]Object
 	events  []storeEvent
@@ -155,14 +158,13 @@
 	end := time.After(time.Duration(ms) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		events := []storeEvent{}
-		for _, e := range s.events {
-			if e.kind == kind && e.rev > since {
-				events = append(events, e)
-			}
-		}
-		rev, changed := s.rev, s.changed
+		events, rev := s.eventsSince(kind, since)
+		gone, changed := since < s.dropped, s.changed
 		s.mu.Unlock()
+		if gone {
+			reply(w, 410, map[string]string{})
+			return
+		}
 		if len(events) > 0 {
 			reply(w, 200, map[string]any{"events": events, "as_of": rev})
 			return
@@ -175,18 +177,35 @@
 		case <-end:
 		}
 		s.mu.Lock()
-		rev = s.rev
-		for _, e := range s.events {
-			if e.kind == kind && e.rev > since {
-				events = append(events, e)
-			}
-		}
+		events, rev = s.eventsSince(kind, since)
 		s.mu.Unlock()
 		reply(w, 200, map[string]any{"events": events, "as_of": rev})
 		return
 	}
 }
 
+// eventsSince returns the changes of a kind after a revision, and the revision up to which they are complete. It is called with the lock.
+func (s *Store) eventsSince(kind string, since uint64) ([]storeEvent, uint64) {
+	events, size := []storeEvent{}, 0
+	for _, e := range s.events {
+		if e.kind != kind || e.rev <= since {
+			continue
+		}
+		if size += len(e.Object.Spec); s.WatchBytes > 0 && len(events) > 0 && size > s.WatchBytes {
+			return events, events[len(events)-1].rev
+		}
+		events = append(events, e)
+	}
+	return events, s.rev
+}
+
+// DropHistory forgets all changes so far and the next one, of which no watch learns.
+func (s *Store) DropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropped = s.rev + 1
+}
+
 func (s *Store) single(w http.ResponseWriter, r *http.Request, kind, name string, named bool) {
 	var body Object
 	if r.Method == http.MethodPost || r.Method == http.MethodPut {
