--- a/review/standin3/tokens.go
+++ b/review/standin3/tokens.go
@@ -9,7 +9,7 @@
 
 func init() { cases["tokens"] = tokens }
 
-// tokens: ordinary callers of a model service, and beside them for 10 s one client that names more tokens than any worker has memory for.
+// tokens: ordinary callers of a model service, and beside them for 30 s one client that names more tokens than any worker has memory for.
 func tokens(rec *Record, trouble bool) int {
 	const (
 		calm      = 10 * time.Second // ordinary requests alone
