feed, board: Log when a source stops answering and why a missing target is used

A worker whose entry was removed got requests for 4.0 to 4.2 s. The logs showed when the list without it was applied, but neither when the store had stopped answering and answered again, nor why the target stayed in use.

Hypotheses: (1) the list counts as incomplete for 2 s after a call has timed out, on top of the time until it timed out; (2) the news of the removal itself comes so late, as the next call takes another silent connection; (3) another instance goes on placing requests there.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"log/slog"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -146,6 +147,7 @@
 			b.delist(id, s)
 		case s.missingUntil == 0:
 			s.missingUntil = trust.IncompleteUntil
+			slog.Info("target missing from the list, still used", "target", id, "for_ms", int64(trust.IncompleteUntil-now))
 		}
 	}
 	b.countUnknownZones()
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -389,10 +389,11 @@
 
 // recordSuccess records that the source has answered.
 func (f *Feed) recordSuccess() {
-	now := int64(clock.Now())
-	f.lastSuccess.Store(now)
+	now := clock.Now()
+	last := clock.Millis(f.lastSuccess.Swap(int64(now)))
 	if f.failing.Swap(false) {
-		raise(&f.recoveredAt, now)
+		raise(&f.recoveredAt, int64(now))
+		slog.Info("source answers again", "feed", f.Name, "last_answer_ms", int64(now-last))
 	}
 }
 
@@ -411,8 +412,8 @@
 
 // recordSourceFailure records that a call to the source has failed, unless the source has answered another one since.
 func (f *Feed) recordSourceFailure(call string, began clock.Millis, err error) {
-	if f.LastSuccess() <= began {
-		f.failing.Store(true)
+	if f.LastSuccess() <= began && !f.failing.Swap(true) {
+		slog.Info("source does not answer", "feed", f.Name, "call", call, "after_ms", int64(clock.Now()-began), "error", err.Error())
 	}
 	f.recordFailure(call, err)
 }
