--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -273,6 +273,9 @@
 		watchCtx, cancel := context.WithTimeout(ctx, 2*duration.Duration())
 		o, err := f.Watch(watchCtx, f.Current().Version, wait)
 		cancel()
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			f.recordSourceFailure("watch", began, err)
 			_ = clock.Sleep(ctx, began+retryPause(delay)-clock.Now())
@@ -320,6 +323,9 @@
 func (f *Feed) poll(ctx context.Context) {
 	began := clock.Now()
 	o, err := f.readIfChanged(ctx)
+	if ctx.Err() != nil {
+		return
+	}
 	if err != nil {
 		f.recordSourceFailure("read", began, err)
 		return
