platform, feed: Tell an outage of the store from a lost connection to it

Callers' requests went to a worker for 4.0 to 4.2 s after its entry was removed, where it serves for 2 s and a little longer: they could be cut when it ended.

Cause: any failed call made the list of workers count as incomplete for 2 s from the next answer on, since entries expire while the store is away. A watch that times out on a connection that has fallen silent is no outage: 2.4 s until it timed out, and these 2 s, add up.

Ruled out: that the news itself came so late (the list without the worker was applied after 2.2 s), that a new era of the store was seen (no such line), and other instances (all three placed requests there equally).

Why it works: in an outage the calls that follow a failure fail on new connections, and what expires meanwhile is kept as before. Where they are answered, the store was there, and what is missing from its list has left. What is given up: an outage without resets that begins and ends within one watch (2.7 s), of which no call of the instance on a new connection knows.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -45,6 +45,7 @@
 	LookSpread    func() clock.Millis                                    // over which instances that do so at once spread; nil for the least
 	OnFound       func()                                                 // called when a look has found a newer version; may be nil
 	OnConfirmed   func()                                                 // called when the active version was confirmed; may be nil
+	OutageSeenAt  func() clock.Millis                                    // when the source itself was last seen to be away; nil if each failure shows that
 
 	mu              sync.Mutex
 	current         atomic.Pointer[state]
@@ -86,7 +87,7 @@
 // LastSuccess returns when the source last answered.
 func (f *Feed) LastSuccess() clock.Millis { return clock.Millis(f.lastSuccess.Load()) }
 
-// RecoveredAt returns when the source last answered after a failure, as this instance or a peer has seen, or zero if it never
+// RecoveredAt returns when the source last answered after an outage, as this instance or a peer has seen, or zero if it never
 // did.
 func (f *Feed) RecoveredAt() clock.Millis { return clock.Millis(f.recoveredAt.Load()) }
 
@@ -397,10 +398,19 @@
 func (f *Feed) recordSuccess() {
 	now := clock.Now()
 	last := clock.Millis(f.lastSuccess.Swap(int64(now)))
-	if f.failing.Swap(false) {
+	if !f.failing.Swap(false) {
+		return
+	}
+	away := f.wasAway(last)
+	if away {
 		raise(&f.recoveredAt, int64(now))
-		slog.Info("source answers again", "feed", f.Name, "last_answer_ms", int64(now-last))
 	}
+	slog.Info("source answers again", "feed", f.Name, "last_answer_ms", int64(now-last), "away", away)
+}
+
+// wasAway reports whether the source was away at any time since a point in time. If it was not, a connection to it was lost.
+func (f *Feed) wasAway(since clock.Millis) bool {
+	return f.OutageSeenAt == nil || f.OutageSeenAt() >= since
 }
 
 // raise sets a point in time to a later one, and reports whether it was earlier.
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -70,6 +70,45 @@
 	is.True(f.RecoveredAt() >= back)
 }
 
+// Guards against: a call that fails on a lost connection counts as an outage of the source, so that what is missing from the next answer
+// counts as expired in it.
+func TestLostConnectionIsNoOutage(t *testing.T) {
+	for name, away := range map[string]bool{"lost connection": false, "outage": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var seenAt atomic.Int64
+			var answers atomic.Int64
+			f := &Feed{
+				Name: "test", Peers: func() []string { return nil }, ShouldWatch: always,
+				PollInterval: func() clock.Millis { return clock.Minute }, Apply: func(Object) error { return nil },
+				Read: func(context.Context) (Object, error) {
+					return Object{Version: Version{Number: 1}, Value: []byte("1")}, nil
+				},
+				Watch: func(ctx context.Context, _ Version, wait clock.Millis) (Object, error) {
+					if wait > 0 && answers.Load() == 0 {
+						if away {
+							seenAt.Store(int64(clock.Now()))
+						}
+						return Object{}, eris.New("reset")
+					}
+					answers.Add(1)
+					return Object{Version: Version{Number: 1}}, clock.Sleep(ctx, wait)
+				},
+				OutageSeenAt: func() clock.Millis { return clock.Millis(seenAt.Load()) },
+			}
+			f.Init()
+			ctx, cancel := context.WithCancel(context.Background())
+			t.Cleanup(cancel)
+			go func() { _ = f.Run(ctx) }()
+			for end := clock.Now() + 4*retryDelay; answers.Load() < 2 && clock.Now() < end; {
+				_ = clock.Sleep(ctx, 10)
+			}
+			is.True(answers.Load() > 0)
+			is.Equal(f.RecoveredAt() > 0, away)
+		})
+	}
+}
+
 // Guards against: feeds that lose the source at the same moment all ask again at the same moments, so that nobody notices its
 // return between these.
 func TestRetriesSpread(t *testing.T) {
