platform: Use no idle connection again after a call has got no answer

Open connections to the store fall silent while new ones work: what the store acknowledged after that reached an instance up to 1.5 s later than needed, so that a key that was taken away was accepted 3.1 s later.

Cause: the call after a watch that had timed out took another connection of the pool, which was silent as well, and failed by its whole timeout of 1.5 s. In the trace of the watches of the configuration time out 1.86 to 2.06 s after the silence began, and are answered only 1.50 s after that.

Fix: a call that fails on a connection that was open before closes the idle ones. The next call opens a new one, which also tells whether the store is away. A call that holds a connection meanwhile fails by itself, and its connection does not come back to the pool.

Looked for elsewhere: the client of the store is the only one in platform/ whose next call goes to the same address as the one that timed out.

--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -29,6 +29,13 @@
 	return resp, nil
 }
 
+// CloseIdleConnections closes the connections of the other transport that are not in use.
+func (t *Transport) CloseIdleConnections() {
+	if base, ok := t.Base.(interface{ CloseIdleConnections() }); ok {
+		base.CloseIdleConnections()
+	}
+}
+
 // check returns what is wrong with the head of a response, or nil.
 func check(resp *http.Response) error {
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
