store: Use no idle connection again after a call has got no answer

Found by looking for pools of connections: those to targets are used once, pierctl makes one call, the client library spreads over instances.

Test: TestSilentConnectionsDropped failed before in the second call (context deadline exceeded) and passes now.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return nil, &Error{Op: op, Kind: Refused, Err: err}
 	}
-	resp, err := c.httpClient().Do(req)
+	resp, err := c.do(req)
 	if err != nil {
 		return nil, &Error{Op: op, Kind: Unavailable, Err: err}
 	}
@@ -109,7 +109,7 @@
 	} else {
 		req.Header.Set("If-Match", formatETag(version))
 	}
-	resp, err := c.httpClient().Do(req)
+	resp, err := c.do(req)
 	if err != nil {
 		return 0, &Error{Op: op, Kind: OutcomeUnknown, Err: err}
 	}
@@ -137,7 +137,7 @@
 		return &Error{Op: op, Kind: Refused, Err: err}
 	}
 	req.Header.Set("If-Match", formatETag(version))
-	resp, err := c.httpClient().Do(req)
+	resp, err := c.do(req)
 	if err != nil {
 		return &Error{Op: op, Kind: OutcomeUnknown, Err: err}
 	}
@@ -163,7 +163,7 @@
 	if err != nil {
 		return Object{}, &Error{Op: op, Kind: Refused, Err: err}
 	}
-	resp, err := c.httpClient().Do(req)
+	resp, err := c.do(req)
 	if err != nil {
 		return Object{}, &Error{Op: op, Kind: Unavailable, Err: err}
 	}
@@ -207,6 +207,15 @@
 	return c.HTTPClient
 }
 
+// do sends a request. If it gets no answer, the idle connections may be lost as well, and are not used again.
+func (c *Client) do(req *http.Request) (*http.Response, error) {
+	resp, err := c.httpClient().Do(req)
+	if err != nil {
+		c.httpClient().CloseIdleConnections()
+	}
+	return resp, err
+}
+
 func (c *Client) objectURL(name string) string { return c.BaseURL + "/objects/" + name }
 
 func countCall(call string) {
