--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -2,30 +2,14 @@
 
 import (
 	"context"
-	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"github.com/corianderpier/corianderpier/internal/clock"
 )
 
-const (
-	defaultWatchDuration = 10 * clock.Second     // how long the source holds a watch call open
-	firstReadInterval    = 200 * clock.Millis(1) // between attempts to read a first version while the source does not answer
-	noSourceInterval     = 20 * clock.Millis(1)  // between attempts while neither the source nor a peer may be asked yet
-	emptySourceInterval  = clock.Second          // between attempts while the source answers that there is no version yet
-	emptyPeersInterval   = 300 * clock.Millis(1) // between attempts while only peers answer that they have none
-	retryDelay           = 500 * clock.Millis(1) // after a failed watch; doubled for each consecutive one
-	maxRetryDelay        = clock.Second          // after several failures of the source
-	maxFirstFetches      = 3                     // peers asked at once for a first version
-	maxFirstReads        = 4                     // concurrent attempts to read a first version
-	fetchTimeout         = 600 * clock.Millis(1) // of a fetch from a peer, after which the source is polled instead
-	coalesceDelay        = 100 * clock.Millis(1) // after a watch, so that a burst of changes costs one call, and answers without news few
-)
+const fetchTimeout = 600 * clock.Millis(1) // of a fetch from a peer, after which the source is polled instead
 
 // Feed keeps an instance's copy of one shared object up to date.
 type Feed struct {
@@ -169,158 +153,6 @@
 	return nil
 }
 
-// firstReadInterval returns the time from one attempt to read a first version to the next.
-func (f *Feed) firstReadInterval() clock.Millis {
-	switch {
-	case !f.readsFirst() && len(f.Peers()) == 0:
-		return noSourceInterval
-	case f.LastSuccess() > 0:
-		return emptySourceInterval
-	case f.peerAnswered.Load():
-		return emptyPeersInterval
-	default:
-		return firstReadInterval
-	}
-}
-
-// startFirstRead starts an attempt without waiting for earlier ones, since a call on a lost connection fails only after
-// a long timeout. At most maxFirstReads are in progress.
-func (f *Feed) startFirstRead(ctx context.Context) {
-	if f.firstReads.Add(1) > maxFirstReads {
-		f.firstReads.Add(-1)
-		return
-	}
-	withSource := f.readsFirst() && f.takeSourceTurn()
-	go func() {
-		defer f.firstReads.Add(-1)
-		f.readFirst(ctx, withSource)
-	}()
-}
-
-// takeSourceTurn reports whether the source may be read for a first version now. While earlier such reads last, the time to
-// the next one doubles: a source that is slow because hundreds ask it gets no slower by it. Only Run calls it.
-func (f *Feed) takeSourceTurn() bool {
-	now := clock.Now()
-	if now < f.nextSourceRead {
-		return false
-	}
-	others := f.openSourceReads.Add(1) - 1
-	f.nextSourceRead = now + firstReadInterval<<others
-	return true
-}
-
-// readFirst reads from up to three peers, since a starting instance cannot tell an old version from the newest, and from the
-// source if it is its turn.
-func (f *Feed) readFirst(ctx context.Context, withSource bool) {
-	var group sync.WaitGroup
-	peers := f.Peers()
-	group.Go(func() { f.ReadFrom(ctx, peers[:min(len(peers), f.firstFetches())]) })
-	if withSource {
-		group.Go(func() {
-			defer f.openSourceReads.Add(-1)
-			f.poll(ctx)
-		})
-	}
-	group.Wait()
-}
-
-// ReadFrom reads the object from peers at once, and returns when each has answered or failed.
-func (f *Feed) ReadFrom(ctx context.Context, peers []string) {
-	var group sync.WaitGroup
-	for _, peer := range peers {
-		group.Go(func() { f.fetchFromPeer(ctx, peer) })
-	}
-	group.Wait()
-}
-
-// compareFirst reads the object from some peers if the first version came from the source before there were any to ask. Their version
-// may be as high although their value is older; the source does not say so, as its list does not tell what was removed.
-func (f *Feed) compareFirst(ctx context.Context) {
-	for f.Current().IsZero() || len(f.Peers()) == 0 {
-		if clock.Sleep(ctx, firstReadInterval) != nil {
-			return
-		}
-	}
-	if peers := f.Peers(); !f.peerAnswered.Load() {
-		f.ReadFrom(ctx, peers[:min(len(peers), maxFirstFetches)])
-	}
-}
-
-// readsFirst reports whether a first version is read from the source too.
-func (f *Feed) readsFirst() bool { return f.ReadsFirst == nil || f.ReadsFirst() }
-
-// firstFetches returns how many peers are asked for a first version at once: fewer when they have answered that they have
-// none either.
-func (f *Feed) firstFetches() int {
-	if f.peerAnswered.Load() {
-		return 1
-	}
-	return maxFirstFetches
-}
-
-func (f *Feed) watch(ctx context.Context) {
-	delay := retryDelay
-	for ctx.Err() == nil {
-		if !f.ShouldWatch() || f.Current().IsZero() {
-			f.awaitDuty(ctx)
-			continue
-		}
-		duration := f.watchDuration()
-		wait := duration
-		if f.failing.Load() {
-			wait = 0 // the answer tells at once that the source is back, and not only when something changes
-		}
-		began := clock.Now()
-		watchCtx, cancel := context.WithTimeout(ctx, 2*duration.Duration())
-		o, err := f.Watch(watchCtx, f.Current().Version, wait)
-		cancel()
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			f.recordSourceFailure("watch", began, err)
-			_ = clock.Sleep(ctx, began+retryPause(delay)-clock.Now())
-			delay = min(2*delay, maxRetryDelay)
-			continue
-		}
-		delay = retryDelay
-		f.recordSuccess()
-		f.applyFromSource(o)
-		_ = clock.Sleep(ctx, coalesceDelay)
-	}
-}
-
-// Reconsider makes Run ask ShouldWatch again at once.
-func (f *Feed) Reconsider() {
-	select {
-	case f.reconsider <- struct{}{}:
-	default:
-	}
-}
-
-// awaitDuty waits until this instance may be one that watches.
-func (f *Feed) awaitDuty(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-f.reconsider:
-	case <-time.After(retryDelay.Duration()):
-	}
-}
-
-// watchDuration returns how long the source is asked to hold a watch call open.
-func (f *Feed) watchDuration() clock.Millis {
-	if f.WatchDuration == nil {
-		return defaultWatchDuration
-	}
-	return f.WatchDuration()
-}
-
-// retryPause returns the time from one failed watch to the next: a random part of a delay, at least half of it, so that instances
-// which lose the source at the same moment do not ask again at the same moment.
-func retryPause(delay clock.Millis) clock.Millis {
-	return delay/2 + clock.Millis(rand.Int64N(int64(delay/2)+1))
-}
-
 func (f *Feed) poll(ctx context.Context) {
 	began := clock.Now()
 	o, err := f.readIfChanged(ctx)
@@ -393,49 +225,3 @@
 	o.RecoveredAgo = 0
 	f.applyIfNewer(o)
 }
-
-// recordSuccess records that the source has answered.
-func (f *Feed) recordSuccess() {
-	now := clock.Now()
-	last := clock.Millis(f.lastSuccess.Swap(int64(now)))
-	if !f.failing.Swap(false) {
-		return
-	}
-	away := f.wasAway(last)
-	if away {
-		raise(&f.recoveredAt, int64(now))
-	}
-	slog.Info("source answers again", "feed", f.Name, "last_answer_ms", int64(now-last), "away", away)
-}
-
-// wasAway reports whether the source was away at any time since a point in time. If it was not, a connection to it was lost.
-func (f *Feed) wasAway(since clock.Millis) bool {
-	return f.OutageSeenAt == nil || f.OutageSeenAt() >= since
-}
-
-// raise sets a point in time to a later one, and reports whether it was earlier.
-func raise(value *atomic.Int64, at int64) bool {
-	for {
-		old := value.Load()
-		if at <= old {
-			return false
-		}
-		if value.CompareAndSwap(old, at) {
-			return true
-		}
-	}
-}
-
-// recordSourceFailure records that a call to the source has failed, unless the source has answered another one since.
-func (f *Feed) recordSourceFailure(call string, began clock.Millis, err error) {
-	if f.LastSuccess() <= began && !f.failing.Swap(true) {
-		slog.Info("source does not answer", "feed", f.Name, "call", call, "after_ms", int64(clock.Now()-began), "error", err.Error())
-	}
-	f.recordFailure(call, err)
-}
-
-// recordFailure counts and logs a call that has failed.
-func (f *Feed) recordFailure(call string, err error) {
-	metrics.GetOrCreateCounter(`pier_feed_failed_total{feed="` + f.Name + `",call="` + call + `"}`).Inc()
-	slog.Debug("object not read", "feed", f.Name, "call", call, "error", err)
-}
