--- a/internal/fake/proxy.go
+++ b/internal/fake/proxy.go
@@ -32,6 +32,13 @@
 // Close closes the port; connections that are open are passed on until they end.
 func (p *Proxy) Close() error { return p.listener.Close() }
 
+// OpenCount returns how many connections are open.
+func (p *Proxy) OpenCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.open)
+}
+
 // Silence makes the open connections silent for good, and returns how many these are. New ones work.
 func (p *Proxy) Silence() int {
 	p.mu.Lock()
