reach: Take no call that was in flight for an outage, and serve both store clients

Cause: a call on a connection that had just been opened, in flight when all connections fell silent, counted as unanswered on a new connection, and so as an outage of the store.

Fix: only a connection that was opened after an earlier call had got no answer shows an outage by its silence.

The logic is a package of its own now, as it is a decision of the product and not the platform's; the client of the own object API uses it as well, in place of its own lines.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -15,6 +15,7 @@
 
 	"github.com/corianderpier/corianderpier/internal/clock"
 	"github.com/corianderpier/corianderpier/internal/limit"
+	"github.com/corianderpier/corianderpier/internal/reach"
 	"github.com/corianderpier/corianderpier/internal/strict"
 )
 
@@ -41,6 +42,8 @@
 	BaseURL    string       // of the object API, without a trailing slash
 	HTTPClient *http.Client // nil for defaultClient
 	Timeout    clock.Millis // of one call, to which a watch adds its wait; zero for the default
+
+	reach reach.Monitor
 }
 
 // Get reads the current version of an object.
@@ -207,13 +210,9 @@
 	return c.HTTPClient
 }
 
-// do sends a request. If it gets no answer, the idle connections may be lost as well, and are not used again.
+// do sends a request. Whether the API was away is not asked here, so that the wait of a watch does not matter.
 func (c *Client) do(req *http.Request) (*http.Response, error) {
-	resp, err := c.httpClient().Do(req)
-	if err != nil {
-		c.httpClient().CloseIdleConnections()
-	}
-	return resp, err
+	return c.reach.Do(c.httpClient(), req, 0)
 }
 
 func (c *Client) objectURL(name string) string { return c.BaseURL + "/objects/" + name }
