feed: Judge an outage right at the first answer, and by a long silence

The first call of an instance is lost with its connection: no outage was ever seen, which was compared with a last answer that never was, so that it counted as one.

An instance that does not watch the store looks once or twice in an outage of 5 s.

Tests: TestLostConnectionIsNoOutage, cases "first call lost" and "outage seen by no call", failed before.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -29,7 +29,7 @@
 	LookSpread    func() clock.Millis                                    // over which instances that do so at once spread; nil for the least
 	OnFound       func()                                                 // called when a look has found a newer version; may be nil
 	OnConfirmed   func()                                                 // called when the active version was confirmed; may be nil
-	OutageSeenAt  func() clock.Millis                                    // when the source itself was last seen to be away; nil if each failure shows that
+	OutageSeenAt  func() clock.Millis                                    // when the source was last seen to be away; nil if each failure shows it
 
 	mu              sync.Mutex
 	current         atomic.Pointer[state]
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -73,20 +73,36 @@
 // Guards against: a call that fails on a lost connection counts as an outage of the source, so that what is missing from the next answer
 // counts as expired in it.
 func TestLostConnectionIsNoOutage(t *testing.T) {
-	for name, away := range map[string]bool{"lost connection": false, "outage": true} {
+	for name, c := range map[string]struct {
+		seen   bool         // a call shows the outage
+		lasts  clock.Millis // until the source answers again
+		first  bool         // the source has not answered before; the first version is a peer's
+		outage bool
+	}{
+		"first call lost":        {lasts: retryDelay, first: true, outage: false},
+		"lost connection":        {lasts: retryDelay, outage: false},
+		"outage":                 {lasts: retryDelay, seen: true, outage: true},
+		"outage seen by no call": {lasts: 3 * maxRetryDelay, outage: true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			var seenAt atomic.Int64
-			var answers atomic.Int64
+			first := Object{Version: Version{Number: 1}, Value: []byte("1")}
+			var seenAt, lostAt, answers atomic.Int64
 			f := &Feed{
-				Name: "test", Peers: func() []string { return nil }, ShouldWatch: always,
+				Name: "test", Peers: func() []string { return []string{"peer"} }, ShouldWatch: always,
 				PollInterval: func() clock.Millis { return clock.Minute }, Apply: func(Object) error { return nil },
-				Read: func(context.Context) (Object, error) {
-					return Object{Version: Version{Number: 1}, Value: []byte("1")}, nil
+				ReadsFirst: func() bool { return !c.first },
+				Read:       func(context.Context) (Object, error) { return first, nil },
+				Fetch: func(context.Context, string) (Object, error) {
+					if !c.first {
+						return Object{}, eris.New("no version")
+					}
+					return first, nil
 				},
 				Watch: func(ctx context.Context, _ Version, wait clock.Millis) (Object, error) {
-					if wait > 0 && answers.Load() == 0 {
-						if away {
+					lostAt.CompareAndSwap(0, int64(clock.Now()))
+					if clock.Now() < clock.Millis(lostAt.Load())+c.lasts {
+						if c.seen {
 							seenAt.Store(int64(clock.Now()))
 						}
 						return Object{}, eris.New("reset")
@@ -95,16 +111,17 @@
 					return Object{Version: Version{Number: 1}}, clock.Sleep(ctx, wait)
 				},
 				OutageSeenAt: func() clock.Millis { return clock.Millis(seenAt.Load()) },
+				MaxAge:       2 * maxRetryDelay,
 			}
 			f.Init()
 			ctx, cancel := context.WithCancel(context.Background())
 			t.Cleanup(cancel)
 			go func() { _ = f.Run(ctx) }()
-			for end := clock.Now() + 4*retryDelay; answers.Load() < 2 && clock.Now() < end; {
+			for end := clock.Now() + c.lasts + 4*maxRetryDelay; answers.Load() < 2 && clock.Now() < end; {
 				_ = clock.Sleep(ctx, 10)
 			}
 			is.True(answers.Load() > 0)
-			is.Equal(f.RecoveredAt() > 0, away)
+			is.Equal(f.RecoveredAt() > 0, c.outage)
 		})
 	}
 }
--- a/internal/feed/outage.go
+++ b/internal/feed/outage.go
@@ -16,16 +16,24 @@
 	if !f.failing.Swap(false) {
 		return
 	}
-	away := f.wasAway(last)
+	away := f.wasAway(last, now)
 	if away {
 		raise(&f.recoveredAt, int64(now))
 	}
 	slog.Info("source answers again", "feed", f.Name, "last_answer_ms", int64(now-last), "away", away)
 }
 
-// wasAway reports whether the source was away at any time since a point in time. If it was not, a connection to it was lost.
-func (f *Feed) wasAway(since clock.Millis) bool {
-	return f.OutageSeenAt == nil || f.OutageSeenAt() >= since
+// wasAway reports whether the source was away between two answers. If it was not, a connection to it was lost. Beside what calls have
+// shown, it was away if no instance has heard of it for longer than those that watch need to notice that their connections are lost.
+func (f *Feed) wasAway(last, now clock.Millis) bool {
+	if f.OutageSeenAt == nil {
+		return true
+	}
+	if seen := f.OutageSeenAt(); seen > 0 && seen >= last {
+		return true
+	}
+	heard := max(last, f.ConfirmedAt())
+	return f.MaxAge > 0 && heard > 0 && now-heard > f.MaxAge
 }
 
 // raise sets a point in time to a later one, and reports whether it was earlier.
