stage: Use the one proxy of the tests for silent connections

The proxy that came with the tests of silent stores was a second one beside stage.TCPProxy, which has been there for the soak and the proofs. What the tests check is the same.

--- a/internal/stage/proxy.go
+++ b/internal/stage/proxy.go
@@ -16,6 +16,7 @@
 	mu    sync.Mutex
 	open  map[*connection]bool
 	delay time.Duration
+	down  bool // new connections are stalled too
 }
 
 // connection is an accepted connection and the one to the upstream that it is
@@ -32,7 +33,7 @@
 )
 
 // NewTCPProxy starts a proxy to an address. It stops accepting at the end of the
-// test.
+// test, and closes what is still open.
 func NewTCPProxy(t testing.TB, upstream string) *TCPProxy {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -40,7 +41,7 @@
 		t.Fatal(err)
 	}
 	p := &TCPProxy{listener: l, upstream: upstream, open: make(map[*connection]bool)}
-	t.Cleanup(func() { _ = l.Close() })
+	t.Cleanup(p.closeAll)
 	go p.accept()
 	return p
 }
@@ -48,6 +49,38 @@
 // Addr returns the address on which the proxy listens.
 func (p *TCPProxy) Addr() string { return p.listener.Addr().String() }
 
+// Close stops accepting connections. Those that are open are forwarded until they end.
+func (p *TCPProxy) Close() { _ = p.listener.Close() }
+
+// closeAll closes the listener and all open connections.
+func (p *TCPProxy) closeAll() {
+	p.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.open {
+		_ = c.in.Close()
+		_ = c.out.Close()
+	}
+}
+
+// OpenCount returns how many connections are open, stalled ones among them.
+func (p *TCPProxy) OpenCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.open)
+}
+
+// SetDown sets whether the address is out of reach: open connections are stalled
+// permanently, and new ones as well until it is in reach again.
+func (p *TCPProxy) SetDown(down bool) {
+	p.mu.Lock()
+	p.down = down
+	p.mu.Unlock()
+	if down {
+		p.StallBoth()
+	}
+}
+
 // StallBoth permanently stops forwarding on all open connections, in both directions,
 // and leaves them open. New connections work.
 func (p *TCPProxy) StallBoth() {
@@ -103,6 +136,7 @@
 		}
 		c := &connection{in: in, out: out}
 		p.mu.Lock()
+		c.stalled = [2]bool{p.down, p.down}
 		p.open[c] = true
 		p.mu.Unlock()
 		go p.forward(c, Upstream, in, out)
--- a/internal/store/silent_test.go
+++ b/internal/store/silent_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/corianderpier/corianderpier/internal/fake"
+	"github.com/corianderpier/corianderpier/internal/stage"
 	"github.com/corianderpier/corianderpier/internal/store"
 )
 
@@ -27,9 +27,7 @@
 		_, _ = w.Write([]byte("[]"))
 	}))
 	t.Cleanup(server.Close)
-	proxy := &fake.Proxy{To: strings.TrimPrefix(server.URL, "http://")}
-	is.NoErr(proxy.Listen())
-	t.Cleanup(func() { _ = proxy.Close() })
+	proxy := stage.NewTCPProxy(t, strings.TrimPrefix(server.URL, "http://"))
 	client := &store.Client{BaseURL: "http://" + proxy.Addr(), Timeout: callTimeout}
 	list := func() error {
 		_, err := client.List(context.Background(), "config")
@@ -40,7 +38,8 @@
 		group.Go(func() { _ = list() })
 	}
 	group.Wait()
-	is.Equal(proxy.Silence(), conns)
+	is.Equal(proxy.OpenCount(), conns)
+	proxy.StallBoth()
 	is.True(list() != nil)
 	is.NoErr(list())
 }
